Take an attempt that stays unanswered for load that its server holds

Evidence: attempts and outcomes were counted across all agents by second and server. The capacity is there: servers that are well answer 25 to 55 a second, and 15.5 are asked of each. An agent has 23 requests a second for 60 servers, so it hears of one every 2.6 s, and of one that answers nothing never again.

Ruled out: exclusion for silence does not reach it, since two attempts of one agent are never out there at once; the rest of the weight of a bad end (one, fading within a second) is gone before the agent draws that server again.

Cause: LoadTable.others knows reports only, and LoadTable.ended learned nothing of the load from an attempt that brought none. Now an attempt out for long, or ended by time-out or cancelled, counts for as many as a server of the fleet's pace works off in that time; the next report replaces it.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -167,10 +167,14 @@
 
         A server not heard from enters at that mean.
         """
-        if not s.heard_at:
-            return self.mean
-        age = max(FRESH_US, now - s.heard_at)
-        return self.mean + (max(0.0, s.others) - self.mean) * FRESH_US / age
+        told = self.mean
+        if s.heard_at:
+            age = max(FRESH_US, now - s.heard_at)
+            told += (max(0.0, s.others) - self.mean) * FRESH_US / age
+        if not s.open or not self.pace or self.column < 0:
+            return told
+        # An attempt out for long has been waiting behind as many, whatever was last told.
+        return max(told, (now - next(iter(s.open.values()))) / self.pace - len(s.open))
 
     def size_of(self, cost_us: int) -> float:
         """The work of a request as a multiple of the mean request's; 1 where nothing tells it."""
@@ -225,6 +229,11 @@
             self.typical += gain * (e.latency_us - self.typical)
             self.pace += gain * (e.latency_us / load_at_send - self.pace)
         else:
+            if e.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) and self.column >= 0 and self.pace:
+                # It brings no report, but its own time tells as much: at least so many were before it.
+                held = e.latency_us / self.pace
+                if held > self.others(s, now):
+                    s.others, s.heard_at = held - len(s.open), now
             # Balls stay: a server that ends attempts at once must not look light for it.
             s.residue, s.residue_at = s.own(now) - len(s.open) + 1.0, now
             # One that a broken connection or the client's leaving ended is worked off there like any other.
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,63 @@
+"""What a balancer must do when it is one of many: its own requests are few, and the rest are as blind."""
+from __future__ import annotations
+
+from brasshead.interface import Outcome, Send
+
+from .helpers import MS, SECOND, UNSAFE, Drive, only
+
+INFLIGHT = ("inflight",)
+
+
+def served(d: Drive, count: int, held: float = 1.0) -> None:
+    """So many requests answered at once, each answer reporting what the server holds."""
+    for _ in range(count):
+        for s in only(d.request()[1], Send):
+            d.end(s, Outcome.OK, 20 * MS, report=(held,))
+        d.wait(5 * MS)
+
+
+def send_to(d: Drive, backend: str) -> Send:
+    """Requests until one goes to this server; it is left without an answer."""
+    while True:
+        send = only(d.request()[1], Send)[0]
+        if send.backend == backend:
+            return send
+        d.end(send, Outcome.OK, 20 * MS, report=(1.0,))
+
+
+def sends(d: Drive, count: int) -> list[object]:
+    out: list[object] = []
+    for _ in range(count):
+        for s in only(d.request()[1], Send):
+            out.append(s.backend)
+            d.end(s, Outcome.OK, 20 * MS, report=(1.0,))
+    return out
+
+
+def test_a_time_out_tells_how_much_a_server_holds() -> None:
+    # A choked server answers nothing and so reports nothing: its last word, from before, made it look light.
+    d = Drive(UNSAFE, servers=2, report_fields=INFLIGHT, siblings=3)
+    served(d, 40)
+    lost = send_to(d, "s0")
+    served(d, 20)
+    d.wait(SECOND)
+    d.end(lost, Outcome.TIMEOUT, SECOND, attempt=0)
+    assert sends(d, 40) == ["s1"] * 40
+
+
+def test_an_attempt_out_for_long_tells_it_before_its_time_out() -> None:
+    d = Drive(UNSAFE, servers=2, report_fields=INFLIGHT, siblings=3)
+    served(d, 40)
+    send_to(d, "s0")
+    served(d, 20)
+    d.wait(800 * MS)
+    assert sends(d, 40) == ["s1"] * 40
+
+
+def test_what_silence_told_gives_way_to_the_next_report() -> None:
+    d = Drive(UNSAFE, servers=2, report_fields=INFLIGHT, siblings=3)
+    served(d, 40)
+    late = send_to(d, "s0")
+    d.wait(800 * MS)
+    d.end(late, Outcome.OK, 800 * MS, attempt=0, report=(1.0,))
+    assert "s0" in sends(d, 40)
