Offer cold servers half of what they can do, however much the fleet refuses

Ruled out: the list (every agent had the new servers within a second of their start); the predicted time (a server that holds nothing of the agent's own passes that); exclusion (all 60 healthy).

Cause: ColdBudget.admits. A cold server's part is warmth x what was served x what fitted of the draws, and all three fall together: with a third of the requests served and few draws that fit, 1 to 2% of the requests may see the server at all, and of these one in four draws it. Now each draw of it is let through with the chance that makes all balancers together offer it half of its present capacity: the capacity from the pace and the warmth that is sure, the chance from how often this balancer draws a server, so that neither retries nor repeated draws raise it.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from functools import lru_cache
 from heapq import heappop, heappush
-from math import ceil, log2
+from math import ceil, exp, log2
 from random import Random
 from struct import Struct
 from typing import Any
@@ -32,6 +32,7 @@
 OUT_FIRST_US, OUT_MAX_US = 500 * MS, 4 * SECOND  # exclusion from sampling, doubled each time
 TRIALS = 8  # readmission: at most this many attempts out at once before all limits fall
 RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
+LEVEL_US = SECOND  # how often servers are drawn is counted over so long, the latest draws the most
 IDLE = 3.0  # attempts that all balancers together may hold at a server whatever is predicted
 CROWD = 4.0  # held by a server that gets no more, but from those who have none there: it is one core, and one
 # that stays crowded turns slow, however soon its answers were predicted
@@ -39,6 +40,7 @@
 GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
 DRAWS = 16  # samples drawn until two fit the request; no more servers than this are looked at one by one
 REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
+COLD_LOAD = 0.5  # share of its present capacity that a cold server may be offered in any case
 COLD_MARGIN = 4.0  # from this fall multiple on a cold server gets its full part: two samples can double it
 PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
 ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
@@ -302,6 +304,8 @@
         self.start, self.warm_up = settings.start_fraction, settings.warm_up_us
         self.scale = min(1.0, settings.fall_multiple / COLD_MARGIN)
         self.served = 1.0  # share of the latest requests that were served
+        self.siblings = settings.siblings
+        self.drawn, self.drawn_at, self.often = 0.0, 0, 0.0
         self.fit = 1.0  # share of the latest draws that fitted
         self.least = 1.0  # a server's part of the traffic, were all equally warm
 
@@ -320,10 +324,14 @@
             return 1.0
         return self.start + (1.0 - self.start) * max(0, age) / self.warm_up
 
-    def admits(self, s: Server, now: int, luck: float, known: bool) -> bool:
+    def admits(self, s: Server, now: int, luck: float, known: bool, pace: float, rng: Random) -> bool:
         if not s.started_at:
             return True
         warmth = self.warmth(s, now)
+        # The part below shrinks with all that is refused: most of a fleet stood idle while the few that were
+        # warm drowned. What a server surely works off it may be offered however often it is drawn.
+        if pace and self.often and rng.random() < COLD_LOAD * warmth / (pace * self.siblings * self.often):
+            return True
         # Its part of what is served, not of what is asked for, and no more because few others fit: retries of
         # an overloaded fleet pushed one over. Not needed where it is asked first what it holds. But no less
         # than its part were it drawn each time: a fleet that refused gave restarted servers nothing, and so
@@ -331,8 +339,12 @@
         part = self.scale if known else max(self.scale * self.served * self.fit, self.least)
         return warmth >= 1.0 or (luck - s.shift) % 1.0 < warmth * part
 
-    def drew(self, fit: float) -> None:
+    def drew(self, fit: float, draws: int, among: int, now: int) -> None:
         self.fit += GAIN * (fit - self.fit)
+        # How often any one of them is drawn, draws in a row included.
+        self.drawn = self.drawn * exp((self.drawn_at - now) / LEVEL_US) + draws / among
+        self.drawn_at = now
+        self.often = self.drawn / LEVEL_US
 
     def ended(self, served: bool) -> None:
         self.served += GAIN * (served - self.served)
@@ -615,7 +627,7 @@
         silence = (self.now - s.news_at) * r.luck * self.cold.warmth(s, self.now) if self.tells else 0
         if silence > 2 * max(FRESH_US, self.now - self.table.news_at):
             return False
-        return (self.cold.admits(s, self.now, r.luck, self.asks)
+        return (self.cold.admits(s, self.now, r.luck, self.asks, self.table.pace, self.rng)
                 and self.health.admits(s, self.now, self.table.typical))
 
     def _two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
@@ -630,7 +642,7 @@
             draws += 1
             if s not in r.tried and self._admits(r, s) and self._hopeful(r, s, limit, left):
                 fit.append(s)
-        self.cold.drew(len(fit) / draws)
+        self.cold.drew(len(fit) / draws, draws, n, self.now)
         if len(fit) == 2:
             return fit[0], fit[1]
         if n <= DRAWS:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,7 @@
 """What a balancer must do when it is one of many: its own requests are few, and the rest are as blind."""
 from __future__ import annotations
 
-from brasshead.interface import Outcome, Send
+from brasshead.interface import Backend, Outcome, Send
 
 from .helpers import MS, SECOND, UNSAFE, Drive, only
 
@@ -12,7 +12,7 @@
     """So many requests answered at once, each answer reporting what the server holds."""
     for _ in range(count):
         for s in only(d.request()[1], Send):
-            d.end(s, Outcome.OK, 20 * MS, report=(held,))
+            d.end(s, Outcome.OK, int(20 * MS * max(1.0, held)), report=(held,))
         d.wait(5 * MS)
 
 
@@ -61,3 +61,26 @@
     d.wait(800 * MS)
     d.end(late, Outcome.OK, 800 * MS, attempt=0, report=(1.0,))
     assert "s0" in sends(d, 40)
+
+
+def crowded(d: Drive, count: int) -> None:
+    """Answers, each of which reports a server that is far too full."""
+    served(d, count, held=30.0)
+
+
+def test_a_cold_server_gets_what_it_can_do_while_all_others_refuse() -> None:
+    # After a release most of a fleet is cold: its part of what was served was next to nothing.
+    d = Drive(UNSAFE, servers=20, report_fields=INFLIGHT, siblings=4, start_fraction=0.2,
+              warm_up_us=100 * SECOND)
+    served(d, 200, held=0.0)
+    crowded(d, 200)
+    d.list(Backend("new", started_at=d.now))
+    got = 0
+    for _ in range(1000):
+        for s in only(d.request()[1], Send):
+            held = 0.0 if s.backend == "new" else 30.0
+            got += s.backend == "new"
+            d.end(s, Outcome.OK, int(20 * MS * max(1.0, held)), report=(held,))
+        d.wait(10 * MS)
+    # In these ten seconds it can do some 100; a quarter of half of that is this balancer's part.
+    assert 5 <= got <= 25
