Rank a cold server by what it can hold, and bound what it is offered in one way

Evidence: the test's figures; and in a drill with twenty crowded servers and one cold one, the cold one was drawn and let through a dozen times in ten seconds, and sent to twice. Its entry is the mean of the others (28), times a pace five times theirs for its warmth: it ranked last in every pair.

Cause: ColdBudget.admits drew by its part and by the sure rate, so that the two added up: now the larger of them alone decides. LoadTable.others entered a server not heard of, and faded an old report, at the full mean, though a cold one came up empty and gets its warmth's share of the traffic: now at as much of the mean as it is warm, so that pace and load cancel out and it ranks like the others.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -60,7 +60,7 @@
     __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "fade_us", "shift")
+                 "pace", "service", "news_at", "fade_us", "shift", "warm")
 
     def __init__(self, b: Backend, now: int) -> None:
         self.id = b.id
@@ -83,7 +83,7 @@
     def reset(self, now: int) -> None:
         """Forget what was learned of an earlier process."""
         self.news_at = now  # when it was last heard of in any way
-        self.pace = 1.0  # as of the last look at the table
+        self.pace = self.warm = 1.0  # as of the last look at the table
         self.residue = self.others = self.service = self.latency = self.load = self.failing = 0.0
         self.residue_at = self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
         self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
@@ -167,12 +167,13 @@
     def others(self, s: Server, now: int) -> float:
         """What all others hold at a server: as reported, an old report fading to the mean of the table.
 
-        A server not heard from enters at that mean.
+        A server not heard from enters at that mean; a cold one at as much of it as it is warm, as it came up
+        empty and has been sent no more since.
         """
-        told = self.mean
+        told = self.mean * s.warm
         if s.heard_at:
             age = max(FRESH_US, now - s.heard_at)
-            told += (max(0.0, s.others) - self.mean) * FRESH_US / age
+            told += (max(0.0, s.others) - told) * FRESH_US / age
         if not s.open or not self.pace or self.column < 0:
             return told
         # An attempt out for long has been waiting behind as many, whatever was last told.
@@ -328,15 +329,16 @@
         if not s.started_at:
             return True
         warmth = self.warmth(s, now)
-        # The part below shrinks with all that is refused: most of a fleet stood idle while the few that were
-        # warm drowned. What a server surely works off it may be offered however often it is drawn.
-        if pace and self.often and rng.random() < COLD_LOAD * warmth / (pace * self.siblings * self.often):
-            return True
         # Its part of what is served, not of what is asked for, and no more because few others fit: retries of
         # an overloaded fleet pushed one over. Not needed where it is asked first what it holds. But no less
         # than its part were it drawn each time: a fleet that refused gave restarted servers nothing, and so
         # refused on.
         part = self.scale if known else max(self.scale * self.served * self.fit, self.least)
+        # This shrinks with all that is refused: most of a fleet stood idle while the few warm ones drowned.
+        # What a server surely works off it may be offered, however often it is drawn.
+        sure = COLD_LOAD / (pace * self.siblings * self.often) if pace and self.often else 0.0
+        if warmth < 1.0 and sure > part:
+            return rng.random() < warmth * sure
         return warmth >= 1.0 or (luck - s.shift) % 1.0 < warmth * part
 
     def drew(self, fit: float, draws: int, among: int, now: int) -> None:
@@ -664,7 +666,8 @@
         self.table.look(self.ready, now)
         self.cold.look(self.ready, now)
         for s in self.ready:
-            s.pace = self.table.pace_of(s, now, self.cold.warmth(s, now))
+            s.warm = self.cold.warmth(s, now)
+            s.pace = self.table.pace_of(s, now, s.warm)
         self.table.cuts = cutoffs([self._rank(s) for s in self.ready]) if n else []
 
     def _limit(self, r: Request) -> float:
