Weigh the load table's mean by the age of what was heard

Evidence: refusals traced with the table's state: 43 of 60 servers admitted, one to three of them hopeful, mean 6.6 to 9.0, while the reports of the same seconds, over all agents, average about 3.

Cause: LoadTable.look averaged the last word of every server, however old. One shunned for what it held is not heard of again, so its last word stays in the mean; old reports fade to that mean, and servers not heard of enter at it. Now each report counts by FRESH_US over its age, as it does on its own.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -156,8 +156,10 @@
 
     def look(self, servers: list[Server], now: int) -> None:
         """What the entries come to in the mean."""
-        heard = [s.own(now) + max(0.0, s.others) for s in servers if s.heard_at]
-        self.mean = sum(heard) / len(heard) if heard else 0.0
+        # By age: a server shunned for what it held is not heard of again, and its last word kept the mean up.
+        weights = [FRESH_US / max(FRESH_US, now - s.heard_at) if s.heard_at else 0.0 for s in servers]
+        heard = sum(w * (s.own(now) + max(0.0, s.others)) for w, s in zip(weights, servers, strict=True) if w)
+        self.mean = heard / sum(weights) if heard else 0.0
         self.news_at = sorted(s.news_at for s in servers)[len(servers) // 2] if servers else 0
         known = [s.service for s in servers if s.service]
         self.mean_service = sum(known) / len(known) if known else 0.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -84,3 +84,17 @@
         d.wait(10 * MS)
     # In these ten seconds it can do some 100; a quarter of half of that is this balancer's part.
     assert 5 <= got <= 25
+
+
+def test_what_was_heard_long_ago_does_not_keep_the_mean_up() -> None:
+    # Servers shunned for what they held are not heard of again; new ones enter at the mean of the others.
+    d = Drive(UNSAFE, servers=12, report_fields=INFLIGHT, siblings=40)
+    served(d, 200, held=1.0)
+    crowded(d, 60)
+    table = d.balancer.table
+    d.wait(20 * SECOND)
+    for _ in range(40):
+        for s in only(d.request()[1], Send)[:1]:
+            if s.backend in ("s0", "s1"):
+                d.end(s, Outcome.OK, 20 * MS, report=(1.0,))
+    assert table.mean < 6, table.mean
