Spread the list calls of a large fleet, so that discovery answers some of them

Evidence: calls and answers counted over all agents. At the start 40 calls come within 50 ms: 7 are answered at once, 8 more over the next second, one each 100 to 150 ms, and 25 fail after 2 s of waiting.

Ruled out: places held by long waits. With waits of 1 s in place of 20 s the same 15 agents were answered each second, and no other was.

Cause: Balancer._backends called at once, and again 0.1 to 0.3 s and at most 3 s after a failure. Calls that wait too long cost discovery what answered ones do; above its rate it serves none but those already given up. Now first calls are spread over 100 ms for each balancer beyond ten, and the waits after a failure start at 50 ms for each and grow to 200 ms for each. Up to four balancers nothing changes.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -52,6 +52,8 @@
 SOON = 0.15  # such a one is looked at this often, as a share of the typical latency
 IN_TIME = 1.5  # and held while so many typical latencies are left to its aim
 WATCH_FIRST_US, WATCH_MAX_US = 200 * MS, 2 * SECOND  # wait after a failed list call, doubled each time
+WATCH_EACH_US = 100 * MS  # but discovery is given so long for the call of each balancer
+WATCH_QUEUE = 10  # and the first calls of so many may come at once
 
 
 class Server:
@@ -390,7 +392,11 @@
         self.actions: list[Action] = []
         self.servers: dict[BackendId, Server] = {}
         self.ready: list[Server] = []
-        self.watching, self.watch_wait = False, WATCH_FIRST_US
+        # Calls that wait at discovery too long cost it as much as those it answers: forty that came at once, and
+        # again at once after each failure, kept it busy with calls already given up, and none was answered.
+        self.watch_first = max(WATCH_FIRST_US, settings.siblings * WATCH_EACH_US // 2)
+        self.watch_most = max(WATCH_MAX_US, 2 * settings.siblings * WATCH_EACH_US)
+        self.watching, self.watch_wait = False, self.watch_first
         self.table = LoadTable(settings)
         self.health = Health(self.rng, self._log)
         self.cold = ColdBudget(settings)
@@ -444,10 +450,10 @@
         if e.kind is ListKind.FAILED:
             self.watching = False
             self._later(now + int(self.watch_wait * (0.5 + self.rng.random())), self._watch, None)
-            self.watch_wait = min(2 * self.watch_wait, WATCH_MAX_US)
+            self.watch_wait = min(2 * self.watch_wait, self.watch_most)
             return
         if e.kind is not ListKind.CACHED:
-            self.watch_wait = WATCH_FIRST_US
+            self.watch_wait = self.watch_first
         named = set()
         for b in e.backends:
             named.add(b.id)
@@ -466,6 +472,9 @@
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
         self.picks_left = 0
         if self.settings.discovery is Discovery.ASK and not self.watching:
+            spread = max(0, self.settings.siblings - WATCH_QUEUE) * WATCH_EACH_US
+            if e.kind is ListKind.CACHED and spread:
+                return self._later(now + int(spread * self.rng.random()), self._watch, None)
             self._watch(None)
 
     def _forget(self) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,7 @@
 """What a balancer must do when it is one of many: its own requests are few, and the rest are as blind."""
 from __future__ import annotations
 
-from brasshead.interface import Backend, Outcome, Send
+from brasshead.interface import Backend, Discovery, ListKind, Outcome, Send, Watch
 
 from .helpers import MS, SECOND, UNSAFE, Drive, only
 
@@ -98,3 +98,35 @@
             if s.backend in ("s0", "s1"):
                 d.end(s, Outcome.OK, 20 * MS, report=(1.0,))
     assert table.mean < 6, table.mean
+
+
+def calls_of_a_fleet(siblings: int, seconds: int) -> list[float]:
+    """When all balancers of a fleet that starts at once call discovery, of which nothing but failure comes."""
+    calls: list[float] = []
+    for seed in range(siblings):
+        d = Drive(UNSAFE, servers=2, seed=seed, siblings=siblings, me=seed, discovery=Discovery.ASK)
+        asked = list(d.log)
+        for _ in range(seconds * 100):
+            if only(asked, Watch):
+                calls.append((d.now - SECOND) / SECOND)
+                d.list(kind=ListKind.FAILED)
+            asked = d.wait(10 * MS)
+    return sorted(calls)
+
+
+def test_a_fleet_that_starts_at_once_does_not_call_discovery_at_once() -> None:
+    # Of forty calls in one instant fifteen were answered; the rest kept discovery busy with calls that had
+    # waited too long, and for as long as the day went on none of them was answered.
+    calls = calls_of_a_fleet(40, 3)
+    first = [sum(1 for t in calls if at <= t < at + 0.5) for at in (0.0, 0.5, 1.0, 1.5, 2.0, 2.5)]
+    assert len(calls) >= 38 and max(first) <= 16
+
+
+def test_a_fleet_whose_calls_fail_lets_the_queue_of_discovery_drain() -> None:
+    calls = calls_of_a_fleet(40, 30)
+    assert 1 <= sum(1 for t in calls if 15 <= t < 30) / 15 <= 8  # a second
+
+
+def test_a_few_balancers_call_discovery_at_once() -> None:
+    d = Drive(UNSAFE, servers=2, siblings=4, discovery=Discovery.ASK)
+    assert only(d.log, Watch)
