--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -392,8 +392,8 @@
         self.actions: list[Action] = []
         self.servers: dict[BackendId, Server] = {}
         self.ready: list[Server] = []
-        # Calls that wait at discovery too long cost it as much as those it answers: forty that came at once, and
-        # again at once after each failure, kept it busy with calls already given up, and none was answered.
+        # Calls that wait too long cost discovery as much as those it answers: forty at once, and again soon
+        # after each failure, kept it busy with calls already given up, and none was answered.
         self.watch_first = max(WATCH_FIRST_US, settings.siblings * WATCH_EACH_US // 2)
         self.watch_most = max(WATCH_MAX_US, 2 * settings.siblings * WATCH_EACH_US)
         self.watching, self.watch_wait = False, self.watch_first
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -101,7 +101,7 @@
 
 
 def calls_of_a_fleet(siblings: int, seconds: int) -> list[float]:
-    """When all balancers of a fleet that starts at once call discovery, of which nothing but failure comes."""
+    """When all balancers of a fleet that starts at once call a discovery that never answers."""
     calls: list[float] = []
     for seed in range(siblings):
         d = Drive(UNSAFE, servers=2, seed=seed, siblings=siblings, me=seed, discovery=Discovery.ASK)
