Bound what an agent has out by its part of what all servers may hold

Evidence: by second over all agents: 900 to 1040 attempts a second are sent while the median answer goes from 100 to 190, 330, 830 and 1140 ms; at 10 s, 312 are sent and 53 answered, with 20 to 30 in hand at every server heard of. At 13 s, after three seconds of little traffic, all is well (264 of 268 answered in 150 ms); at 14 s the 28 restarted agents, whose tables are empty, send all they have, open 700 connections, and it begins again.

Cause: nothing bounds what an agent sends but reports, of which one with few requests has too few, and one that has just started none. CROWD bounds what a server holds; an agent's part of that, over all servers as warm as they are, divided by the siblings, needs no report. Else the request waits its short while or is refused at once.

The part is at least what one server may hold, and does not bind where peers tell.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -32,10 +32,11 @@
 OUT_FIRST_US, OUT_MAX_US = 500 * MS, 4 * SECOND  # exclusion from sampling, doubled each time
 TRIALS = 8  # readmission: at most this many attempts out at once before all limits fall
 RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
-LEVEL_US = SECOND  # how often servers are drawn is counted over so long, the latest draws the most
+OFTEN_US = SECOND  # how often servers are drawn is counted over so long, the latest draws the most
 IDLE = 3.0  # attempts that all balancers together may hold at a server whatever is predicted
 CROWD = 4.0  # held by a server that gets no more, but from those who have none there: it is one core, and one
 # that stays crowded turns slow, however soon its answers were predicted
+WORTHY = 1.6  # as many may be out, as a multiple of the part, for requests of the class that is worth most
 HEADROOM = 0.45  # predicted time to an answer, as a share of the time to the aim: the rest is for the spread
 GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
 DRAWS = 16  # samples drawn until two fit the request; no more servers than this are looked at one by one
@@ -312,11 +313,13 @@
         self.siblings = settings.siblings
         self.drawn, self.drawn_at, self.often = 0.0, 0, 0.0
         self.fit = 1.0  # share of the latest draws that fitted
+        self.capacity = 0.0  # of all servers, in warm ones
         self.least = 1.0  # a server's part of the traffic, were all equally warm
 
     def look(self, servers: list[Server], now: int) -> None:
         warmths = [self.warmth(s, now) for s in servers]
-        self.least = 1.0 / max(1.0, sum(warmths), len(servers) / 2)
+        self.capacity = sum(warmths)
+        self.least = 1.0 / max(1.0, self.capacity, len(servers) / 2)
         # Side by side: drawn for one by one, no server of a cold fleet would see a third of the requests.
         at = 0.0
         for s, warmth in zip(servers, warmths, strict=True):
@@ -348,9 +351,9 @@
     def drew(self, fit: float, draws: int, among: int, now: int) -> None:
         self.fit += GAIN * (fit - self.fit)
         # How often any one of them is drawn, draws in a row included.
-        self.drawn = self.drawn * exp((self.drawn_at - now) / LEVEL_US) + draws / among
+        self.drawn = self.drawn * exp((self.drawn_at - now) / OFTEN_US) + draws / among
         self.drawn_at = now
-        self.often = self.drawn / LEVEL_US
+        self.often = self.drawn / OFTEN_US
 
     def ended(self, served: bool) -> None:
         self.served += GAIN * (served - self.served)
@@ -418,6 +421,10 @@
         self.picks_left = 0  # picks that the cutoffs still serve
         self.requests: dict[int, Request] = {}
         self.waiting: set[int] = set()  # requests held because all servers are busy
+        self.out = 0  # attempts without an end
+        self.tries, self.tries_at = 0.0, 0  # first tries of late, each fading
+        self.first_aim_us = min(c.aim_us for c in settings.classes)
+        self.worthiest = max(c.worth for c in settings.classes)
         self.budget = RETRY_BURST
         self.due: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.due_count = 0
@@ -499,6 +506,9 @@
         r = Request(e, self.settings.classes[e.request_class], now, self.rng.random(), size)
         self.requests[e.request] = r
         self.budget = min(RETRY_BURST, self.budget + RETRY_SHARE)
+        if not e.is_retry:
+            self.tries = self.tries * exp((self.tries_at - now) / OFTEN_US) + 1.0
+            self.tries_at = now
         # A retry has lost part of its time to the aim unseen: served before first tries it came late.
         r.gives_way = self.shares.over(e.tenant, now) or e.is_retry
         self._advance(r)
@@ -511,6 +521,8 @@
         if left <= 0 or r.sends >= self.settings.max_attempts:
             return self._finish(r)
         pool = self._pool(r)
+        if self.out >= self._part(r):
+            return self._wait(r) if self._can_wait(r) else self._finish(r)
         pair = self._two(r, pool) if pool else None
         if pair is None:
             # Held while nobody may be sent to, and a little while all are busy; else refused at once.
@@ -520,6 +532,15 @@
             return self._wait(r) if busy and self._can_wait(r) else self._finish(r)
         self._ask(r, pair)
 
+    def _part(self, r: Request) -> float:
+        """What may be out when this request is sent: this balancer's part of what all servers may hold."""
+        if self.tells:
+            return float("inf")  # where peers tell of every answer the table knows better
+        # Or, where its traffic is more than its part, as many as come in while an answer may take its time.
+        part = max(CROWD * self.cold.capacity / self.settings.siblings,
+                   self.tries / OFTEN_US * HEADROOM * self.first_aim_us)
+        return max(CROWD, part * (WORTHY if r.cls.worth >= self.worthiest else 1.0))
+
     def _can_wait(self, r: Request) -> bool:
         """Whether a place that frees up soon still serves it: one turned away comes back after its aim."""
         most = max(1.0, WAITING * len(self.ready) / self.settings.siblings)
@@ -732,6 +753,7 @@
         r.may_have_run.append((attempt, s, now))
         r.tried.append(s)
         s.open[(r.id, attempt)] = now
+        self.out += 1
         self.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.margin)))
         if r.cls.effect is not Effect.UNSAFE and self.table.typical and self.settings.second_copies:
             at = now + int(3 * self.table.typical)
@@ -758,6 +780,7 @@
             return
         s, sent, load = r.out.pop(e.attempt)
         s.open.pop((r.id, e.attempt), None)
+        self.out -= 1
         self.table.ended(now, s, e, load)
         if self.tells and e.outcome is Outcome.OK and len(e.report) > self.table.column:
             self._tell(s, e.report[self.table.column] - 1)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,17 @@
 """What a balancer must do when it is one of many: its own requests are few, and the rest are as blind."""
 from __future__ import annotations
 
-from brasshead.interface import Backend, Discovery, ListKind, Outcome, Send, Watch
+from brasshead.interface import (
+    Backend,
+    Discovery,
+    Effect,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    RequestClass,
+    Send,
+    Watch,
+)
 
 from .helpers import MS, SECOND, UNSAFE, Drive, only
 
@@ -130,3 +140,41 @@
 def test_a_few_balancers_call_discovery_at_once() -> None:
     d = Drive(UNSAFE, servers=2, siblings=4, discovery=Discovery.ASK)
     assert only(d.log, Watch)
+
+
+TILE = RequestClass("tile", 500 * MS, 2 * SECOND, Effect.UNSAFE, worth=3.0)
+ORDER = RequestClass("order", 500 * MS, 2 * SECOND, Effect.UNSAFE, worth=10.0)
+
+
+def held_at_once(d: Drive, request_class: int, count: int) -> int:
+    """How many of so many requests, none of which is answered, are sent to a server."""
+    sent = 0
+    for _ in range(count):
+        d.requests += 1
+        sent += len(only(d.event(RequestArrived(d.requests, request_class, SECOND)), Send))
+        d.wait(30 * MS)
+    return sent
+
+
+def test_a_balancer_that_knows_nothing_has_out_no_more_than_its_part() -> None:
+    # Of forty that restart each finds all servers empty: what they sent at once choked most of the fleet.
+    d = Drive(TILE, servers=60, siblings=40, others=(ORDER,))
+    assert 4 <= held_at_once(d, 0, 30) <= 12
+    alone = Drive(TILE, servers=60, siblings=1, others=(ORDER,))
+    assert held_at_once(alone, 0, 30) == 30
+
+
+def test_the_class_that_is_worth_most_is_sent_when_the_part_of_the_others_is_used_up() -> None:
+    d = Drive(TILE, servers=60, siblings=40, others=(ORDER,))
+    held_at_once(d, 0, 30)
+    assert held_at_once(d, 0, 5) == 0
+    assert held_at_once(d, 1, 2) == 2
+
+
+def test_an_answer_makes_room_for_the_next_request() -> None:
+    d = Drive(TILE, servers=60, siblings=40, others=(ORDER,))
+    held_at_once(d, 0, 30)
+    first = only(d.log, Send)[0]
+    assert held_at_once(d, 0, 3) == 0
+    d.end(first, Outcome.OK, 900 * MS)
+    assert held_at_once(d, 0, 3) == 1
