--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -36,7 +36,6 @@
 IDLE = 3.0  # attempts that all balancers together may hold at a server whatever is predicted
 CROWD = 4.0  # held by a server that gets no more, but from those who have none there: it is one core, and one
 # that stays crowded turns slow, however soon its answers were predicted
-OFTEN_HEARD = 6  # so few balancers each hear of a server often enough to go by its reports
 WORTHY = 1.6  # as many may be out, as a multiple of the part, for requests of the class that is worth most
 HEADROOM = 0.45  # predicted time to an answer, as a share of the time to the aim: the rest is for the spread
 GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
@@ -535,8 +534,8 @@
 
     def _part(self, r: Request) -> float:
         """What may be out when this request is sent: this balancer's part of what all servers may hold."""
-        if self.tells or self.settings.siblings <= OFTEN_HEARD:
-            return float("inf")  # the table knows better: peers tell of every answer, or its own come often
+        if self.tells:
+            return float("inf")  # where peers tell of every answer the table knows better
         # Or, where its traffic is more than its part, as many as come in while an answer may take its time.
         part = max(CROWD * self.cold.capacity / self.settings.siblings,
                    self.tries / OFTEN_US * HEADROOM * self.first_aim_us)
