Bound what is out by each balancer's part in a large fleet too, with no floor of four

The attempts that a server holds after its time-outs are worked off there all the same (nothing cancels them), so a choked server stays so while anything more comes. What keeps it from there is the part of attempts out, and `Balancer._part` had a floor of CROWD, four, for each balancer: 784 attempts for 200 balancers, six a server before the release and thirteen a warm server after it. The floor is what one server bears; it says nothing of what one balancer may have out.

The floor is now the room that servers have in the mean by the load table; the part by traffic falls with the capacity that is lost (traffic stays when servers go; forgotten over the longest warm-up of the settings); and parts of an attempt are drawn, for a part of 1.8 is not 2.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -405,6 +405,7 @@
         self.sampled: list[Server] = []  # those among which it draws
         self.capacity = 0.0  # of all that are ready, in warm ones
         self.rarity = 1.0  # how many times fewer balancers than all sample the same server
+        self.most, self.most_at = 0.0, 0  # the most capacity there was of late, and when that was reckoned
         self.chosen_at, self.chosen_for = 0, 0  # when these were chosen, and how many were wanted
         # Calls that wait too long cost discovery as much as those it answers: forty at once, and again soon
         # after each failure, kept it busy with calls already given up, and none was answered.
@@ -518,6 +519,8 @@
             if found < self.chosen_for:
                 self.sampled.append(s)
                 found += warmth if s.out_until <= now else 0.0
+        gone = exp((self.most_at - now) / max(SECOND, self.settings.warm_up_us))
+        self.most, self.most_at = max(self.capacity, self.capacity + (self.most - self.capacity) * gone), now
         self.rarity = max(1, len(self.ready)) / max(1, len(self.sampled))
         self.cold.drawers = self.settings.siblings / self.rarity
         if self.sampled != before:
@@ -567,7 +570,7 @@
             return self._finish(r)
         self._index()
         pool = self._pool(r)
-        if self.out >= self._part(r):
+        if self.out + r.luck >= self._part(r):
             return self._wait(r) if self._can_wait(r) else self._finish(r)
         pair = self._two(r, pool) if pool else None
         if pair is None:
@@ -582,10 +585,17 @@
         """What may be out when this request is sent: this balancer's part of what all servers may hold."""
         if self.tells:
             return float("inf")  # where peers tell of every answer the table knows better
-        # Or, where its traffic is more than its part, as many as come in while an answer may take its time.
+        # Or, where its traffic is more than its part, as many as come in while an answer may take its time,
+        # less by what has gone of the capacity: the traffic stays.
         part = max(CROWD * self.capacity / self.settings.siblings,
-                   self.tries / OFTEN_US * HEADROOM * self.first_aim_us)
-        return max(CROWD, part * (WORTHY if r.cls.worth >= self.worthiest else 1.0))
+                   self.tries / OFTEN_US * HEADROOM * self.first_aim_us * self._left_over())
+        # A burst may use the room that servers have in the mean. A floor of what one server bears was none in
+        # a fleet with more balancers than servers.
+        return max(CROWD - self.table.mean, part * (WORTHY if r.cls.worth >= self.worthiest else 1.0))
+
+    def _left_over(self) -> float:
+        """The share of the fleet's capacity that is left of the most there was."""
+        return self.capacity / max(1.0, self.most)
 
     def _can_wait(self, r: Request) -> bool:
         """Whether a place that frees up soon still serves it: one turned away comes back after its aim."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -322,3 +322,28 @@
     table, servers = d.balancer.table, d.balancer.servers
     assert servers["s0"].service > 1000 and servers["s9"].samples
     assert servers["s9"].pace > table.pace / 2
+
+
+def test_a_small_part_is_held_to_while_servers_are_crowded() -> None:
+    # A floor of four each let two hundred balancers have out eight hundred at a hundred servers.
+    held = {}
+    for told in (1.0, 4.5):
+        d = Drive(TILE, servers=120, report_fields=INFLIGHT, siblings=200, others=(ORDER,))
+        served(d, 300, told)
+        d.wait(8 * SECOND)
+        held[told] = held_at_once(d, 0, 8)
+    assert held[1.0] >= 4 and held[4.5] <= 3
+
+
+def test_the_part_falls_with_the_capacity_that_is_lost() -> None:
+    # Its traffic stays when servers go: in one second, six in ten of them, and the rest were choked by it.
+    held = {}
+    for left in (120, 48):
+        d = Drive(TILE, servers=120, report_fields=INFLIGHT, siblings=200, others=(ORDER,))
+        for _ in range(200):
+            for s in only(d.request()[1], Send):
+                d.end(s, Outcome.OK, 20 * MS, report=(4.5,))
+            d.wait(12 * MS)
+        d.list(*d.backends[:left], kind=ListKind.FULL)
+        held[left] = held_at_once(d, 0, 60)
+    assert 0 < held[48] <= 0.6 * held[120]
