--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from functools import lru_cache
 from heapq import heappop, heappush
-from math import ceil, exp, log2
+from math import ceil, exp, log2, sqrt
 from random import Random
 from struct import Struct
 from typing import Any
@@ -45,7 +45,8 @@
 LEAST = 17  # but no fewer: below this the design has one cutoff only
 DRAWS = 16  # samples drawn until two fit the request; no more servers than this are looked at one by one
 REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
-COLD_LOAD = 0.5  # share of its present capacity that a cold server may be offered in any case
+COLD_LOAD = 0.5  # share of its capacity that a cold server which tells nothing may be offered in any case
+LOADS = ("inflight", "queue")  # the fields of a report that tell what a server holds, the better one first
 COLD_MARGIN = 4.0  # from this fall multiple on a cold server gets its full part: two samples can double it
 PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
 ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
@@ -152,7 +153,7 @@
 
     def __init__(self, settings: Settings) -> None:
         fields = settings.report_fields
-        self.column = next((fields.index(f) for f in ("inflight", "queue") if f in fields), -1)
+        self.column = next((fields.index(f) for f in LOADS if f in fields), -1)
         self.service_column = fields.index("latency_ms") if "latency_ms" in fields else -1
         self.hinted = settings.capacity_hints
         self.cuts: list[float] = []
@@ -316,6 +317,8 @@
     def __init__(self, settings: Settings) -> None:
         self.start, self.warm_up = settings.start_fraction, settings.warm_up_us
         self.scale = min(1.0, settings.fall_multiple / COLD_MARGIN)
+        self.multiple, self.window = settings.fall_multiple, settings.fall_window_us
+        self.told = any(f in settings.report_fields for f in LOADS)
         self.served = 1.0  # share of the latest requests that were served
         self.drawers = float(settings.siblings)  # balancers that draw the same server
         self.drawn, self.drawn_at, self.often = 0.0, 0, 0.0
@@ -350,11 +353,23 @@
         part = self.scale if known else max(self.scale * self.served * self.fit, self.least)
         # This shrinks with all that is refused: most of a fleet stood idle while the few warm ones drowned.
         # What a server surely works off it may be offered, however often it is drawn.
-        sure = COLD_LOAD / (pace * self.drawers * self.often) if pace and self.often else 0.0
+        sure = self.sure(warmth / pace) / (warmth * self.drawers * self.often) if pace and self.often else 0.0
         if warmth < 1.0 and sure > part:
             return rng.random() < warmth * sure
         return warmth >= 1.0 or (luck - s.shift) % 1.0 < warmth * part
 
+    def sure(self, rate: float) -> float:
+        """What a cold server that works off so much at the least may be offered.
+
+        Where it tells what it holds, as much as the rule on cold servers bears with three deviations of
+        chance to spare: ramps are faster than the slowest, the load table sees the rest, and half of what the
+        slowest could do left seventy idle while the warm ones choked.
+        """
+        if not self.told:
+            return COLD_LOAD * rate
+        limit = self.multiple * rate * self.window
+        return (sqrt(limit + 2.25) - 1.5) ** 2 / self.window
+
     def drew(self, fit: float, draws: int, among: int, now: int) -> None:
         self.fit += GAIN * (fit - self.fit)
         # How often any one of them is drawn, draws in a row included.
