--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -585,7 +585,9 @@
             return self._finish(r)
         self._index()
         pool = self._pool(r)
-        if self.out + r.luck >= self._part(r):
+        part = self._part(r)
+        # Rounded up, a part of one or two is half as much again: its fraction is drawn, once for a request.
+        if self.out + ((r.luck + r.spare) % 1.0 if part < CROWD else 0.0) >= part:
             return self._wait(r) if self._can_wait(r) else self._finish(r)
         pair = self._two(r, pool) if pool else None
         if pair is None:
