Let a class that was not sent for a second have as much out as the one that is worth most

Where its traffic keeps what is out between the two, no request of another class finds room: a strict priority. The test at the module's interface shows it whole: of two classes over capacity the one gets 1,100 sends in twelve seconds, the other none.

A class none of which was sent for a second now has the same room as the first. Nothing tells classes apart here but their worth in the settings and when they were last sent.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -457,6 +457,7 @@
         self.tries, self.tries_at = 0.0, 0  # first tries of late, each fading
         self.first_aim_us = min(c.aim_us for c in settings.classes)
         self.worthiest = max(c.worth for c in settings.classes)
+        self.sent_at: dict[str, int] = {}  # when the latest request of each class was sent
         self.budget = RETRY_BURST
         self.due: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.due_count = 0
@@ -606,9 +607,12 @@
         # less by what has gone of the capacity: the traffic stays.
         part = max(CROWD * self.capacity / self.settings.siblings,
                    self.tries / OFTEN_US * HEADROOM * self.first_aim_us * self._left_over())
-        # A burst may use the room that servers have in the mean. A floor of what one server bears was none in
-        # a fleet with more balancers than servers.
-        return max(CROWD - self.table.mean, part * (WORTHY if r.cls.worth >= self.worthiest else 1.0))
+        # The class that is worth most goes first, and one of which none was sent for long: alone, the first kept
+        # what is out above the part of the others, and each place that came free was its own.
+        first = r.cls.worth >= self.worthiest or self.now - self.sent_at.get(r.cls.name, 0) > OFTEN_US
+        # A burst may use the room that servers have in the mean. A floor of what one server bears was no bound
+        # where there are more balancers than servers.
+        return max(CROWD - self.table.mean, part * (WORTHY if first else 1.0))
 
     def _left_over(self) -> float:
         """The share of the fleet's capacity that is left of the most there was."""
@@ -824,6 +828,7 @@
 
     def _send(self, r: Request, s: Server, load: float) -> None:
         now, attempt = self.now, r.sends
+        self.sent_at[r.cls.name] = now
         r.sends += 1
         r.out[attempt] = (s, now, load)
         r.may_have_run.append((attempt, s, now))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 
 import asyncio
 from pathlib import Path
+from random import Random
 
 from brasshead.interface import (
     Backend,
@@ -370,3 +371,44 @@
     assert len(at) >= 100
     most = max(sum(t <= u < t + window_us for u in at) for t in at)
     assert most <= multiple * 0.2 * 50 * window_us / SECOND
+
+
+def overloaded(classes: tuple[RequestClass, ...], took_us: int) -> dict[str, int]:
+    """What is sent of each class in twelve seconds, when a quarter of the servers are left.
+
+    Those that are worth most come three times as often as each of the others, and have enough for all places.
+    """
+    d = Drive(classes[0], servers=60, report_fields=INFLIGHT, siblings=40, others=classes[1:],
+              warm_up_us=1000 * SECOND)
+    rng, most = Random(1), max(c.worth for c in classes)
+    out: list[tuple[int, Send]] = []
+    sent = dict.fromkeys((c.name for c in classes), 0)
+    for step in range(600):
+        if step == 100:
+            d.list(*d.backends[:15], kind=ListKind.FULL)
+        came = [i for i, c in enumerate(classes) for _ in range(3 if c.worth == most else 1)]
+        rng.shuffle(came)
+        for index in came:
+            d.requests += 1
+            got = only(d.event(RequestArrived(d.requests, index, SECOND)), Send)
+            out += [(d.now, s) for s in got]
+            sent[classes[index].name] += len(got) if step >= 200 else 0
+        d.wait(30 * MS)
+        while out and out[0][0] <= d.now - took_us:
+            d.end(out.pop(0)[1], Outcome.OK, took_us, report=(1.0,))
+    return sent
+
+
+def test_a_class_worth_more_does_not_take_every_place_that_comes_free() -> None:
+    # It kept what is out above the part of the others for as long as its traffic sufficed.
+    sent = overloaded((TILE, ORDER), 100 * MS)
+    assert sent["tile"] >= 10, sent
+
+
+def test_so_it_is_whatever_the_classes_are_called_and_however_many() -> None:
+    classes = (
+        RequestClass("z", 900 * MS, 2 * SECOND, worth=1.0), RequestClass("a", 300 * MS, SECOND, worth=5.0),
+        RequestClass("m", 500 * MS, SECOND, Effect.UNSAFE), RequestClass("k", 500 * MS, SECOND, worth=5.0))
+    for first in range(len(classes)):
+        sent = overloaded(classes[first:] + classes[:first], 60 * MS)
+        assert min(sent.values()) >= 10, sent
