--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -607,11 +607,11 @@
         # less by what has gone of the capacity: the traffic stays.
         part = max(CROWD * self.capacity / self.settings.siblings,
                    self.tries / OFTEN_US * HEADROOM * self.first_aim_us * self._left_over())
-        # The class that is worth most goes first, and one of which none was sent for long: alone, the first kept
-        # what is out above the part of the others, and each place that came free was its own.
+        # The class that is worth most goes first, and one of which none was sent for long: alone, the first
+        # kept what is out above the part of the others, and each place that came free was its own.
         first = r.cls.worth >= self.worthiest or self.now - self.sent_at.get(r.cls.name, 0) > OFTEN_US
-        # A burst may use the room that servers have in the mean. A floor of what one server bears was no bound
-        # where there are more balancers than servers.
+        # A burst may use the room that servers have in the mean. A floor of what one server bears was no
+        # bound where there are more balancers than servers.
         return max(CROWD - self.table.mean, part * (WORTHY if first else 1.0))
 
     def _left_over(self) -> float:
