Let the part by traffic fall as servers hold more in the mean than they bear

`Balancer._part` takes the larger of an even part and as many as come in while an answer may take its time. The second has no bound in the sum: in a burst every balancer's traffic grows, and each takes the larger part. It now falls by what servers hold, with the request at hand, over what they bear.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -605,8 +605,9 @@
             return float("inf")  # where peers tell of every answer the table knows better
         # Or, where its traffic is more than its part, as many as come in while an answer may take its time,
         # less by what has gone of the capacity: the traffic stays.
-        part = max(CROWD * self.capacity / self.settings.siblings,
-                   self.tries / OFTEN_US * HEADROOM * self.first_aim_us * self._left_over())
+        # And less as servers hold more than they bear in the mean: in a burst all come with more at once.
+        part = max(CROWD * self.capacity / self.settings.siblings, self.tries / OFTEN_US * HEADROOM
+                   * self.first_aim_us * self._left_over() * min(1.0, CROWD / (self.table.mean + 1.0)))
         # The class that is worth most goes first, and one of which none was sent for long: alone, the first
         # kept what is out above the part of the others, and each place that came free was its own.
         first = r.cls.worth >= self.worthiest or self.now - self.sent_at.get(r.cls.name, 0) > OFTEN_US
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -412,3 +412,19 @@
     for first in range(len(classes)):
         sent = overloaded(classes[first:] + classes[:first], 60 * MS)
         assert min(sent.values()) >= 10, sent
+
+
+def test_the_part_falls_as_servers_hold_more_in_the_mean_than_they_bear() -> None:
+    # In a burst all balancers have more traffic at once, and each took the larger part for its own.
+    part = {}
+    for crowd in (1.0, 12.0):
+        d = Drive(TILE, servers=40, report_fields=INFLIGHT, siblings=200, others=(ORDER,))
+        for _ in range(300):
+            number, actions = d.request()
+            if number in d.balancer.requests:  # not refused
+                part[crowd] = d.balancer._part(d.balancer.requests[number])
+            for s in only(actions, Send):
+                told = crowd if int(str(s.backend)[1:]) % 3 else 1.0
+                d.end(s, Outcome.OK, 20 * MS, report=(told,))
+            d.wait(12 * MS)
+    assert 1.0 < part[12.0] <= 0.8 * part[1.0], part
