Let a malformed entry of the list harm itself only

`ListingParser.parse` raised on the first entry that does not fit its form, and the whole answer was a failed call: the next call with the same index gets the same answer, so nothing more is heard of any server, and those that drain are sent to for as long. Seen on the wire in the test, which fails on the parser as it was: an answer with six bad entries, one good one and one that drains was reported as no list at all.

The other entries now count. A bad entry that names its server takes it for gone, since what is said of it is not known and nothing new may go to one that drains; one without a name is left out with a line in the log. A size that is not finite or below 0 is bad too: it made the mean of the sizes, and so each server's pace, no number.

--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -59,7 +59,11 @@
 
 
 class ListingParser:
-    """Turns discovery's JSON into a Listing; raises ValueError on anything that does not fit its form."""
+    """Turns discovery's JSON into a Listing; raises ValueError on what does not fit its form as a whole.
+
+    An entry that does not fit harms itself only: its backend, where it is named, is taken for gone. Refused
+    whole, a change with one bad entry would come again to each call, and nothing be heard of the others.
+    """
 
     def __init__(self, clock: Clock, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
         self._clock = clock
@@ -68,15 +72,29 @@
 
     def parse(self, doc: Any) -> Listing:
         try:
-            members = tuple(self._member(m) for m in doc["members"])
+            entries = doc["members"]
+            if not isinstance(entries, list):
+                raise TypeError("members")
+            members = tuple(m for m in map(self._entry, entries) if m is not None)
             return Listing(int(doc["revision"]), bool(doc["complete"]), members)
         except (KeyError, TypeError, AttributeError, OverflowError) as e:
             raise ValueError(f"list of backends: {type(e).__name__} {e}") from None
 
+    def _entry(self, m: Any) -> Member | None:
+        try:
+            return self._member(m)
+        except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as e:
+            log.warning("entry of the list left out: %s %s", type(e).__name__, e)
+        name = m.get("id") if isinstance(m, dict) else None
+        return Member(Backend(str(name), State.GONE), Address("", 0)) if isinstance(name, str) else None
+
     def _member(self, m: Any) -> Member:
+        size = float(m.get("size") or 1.0)
+        if not 0.0 < size < 1e9:  # not finite or below 0 would poison every mean it enters
+            raise ValueError(f"size {size}")
         backend = Backend(
             str(m["id"]), STATES[m["phase"]], self._zones.get(m.get("locality"), 0), int(m.get("cell") or 0),
-            self._kinds.get(m.get("flavor"), 0), float(m.get("size") or 1.0),
+            self._kinds.get(m.get("flavor"), 0), size,
             self._clock.from_unix_ms(int(m.get("up_since_ms") or 0)),
         )
         return Member(backend, parse_address(m["host_port"]))
