--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -428,3 +428,25 @@
                 d.end(s, Outcome.OK, 20 * MS, report=(told,))
             d.wait(12 * MS)
     assert 1.0 < part[12.0] <= 0.8 * part[1.0], part
+
+
+def test_a_list_of_more_than_a_thousand_is_used_in_every_part_and_forgotten_whole() -> None:
+    # In whole, as changes, and with all replaced at once; siblings are as many.
+    count, parts = 1500, 15
+    used = {kind: set[int]() for kind in ("whole", "changes", "replaced")}
+    for seed in range(60):
+        d = Drive(UNSAFE, servers=0, report_fields=INFLIGHT, siblings=1400, me=seed, seed=seed)
+        d.list(*[Backend(f"w{i}") for i in range(count)], kind=ListKind.FULL)
+        for kind in used:
+            if kind == "changes":
+                d.list(kind=ListKind.FULL)
+                for first in range(0, count, 100):
+                    d.list(*[Backend(f"c{i}") for i in range(first, first + 100)])
+            if kind == "replaced":
+                d.list(*[Backend(f"r{i}") for i in range(count)], kind=ListKind.FULL)
+            for backend in sends(d, 20):
+                assert str(backend)[0] == kind[0]
+                used[kind].add(int(str(backend)[1:]) * parts // count)
+            assert len(d.balancer.servers) == count
+            d.wait(200 * MS)
+    assert all(len(where) == parts for where in used.values())
