Find a silent watch within 3 s where the list is at hand, and call again within the grace

At fault: WAIT_MS (20 s) was used where calls are answered on the spot and cost nothing, and ANSWER_S (2 s) gave a watch up at the end of its allowance instead of ahead of it. And the module doubled its wait after failed calls up to 3 s in all, where a list at hand counts as told at once, with 0.5 s of grace or what the settings say; rules.drainGraceUs was not read at all.

Now a list at hand is waited for 2 s at a time and an answer 1 s past that is given up; one that is asked for keeps its 20 s, and is given up 1 s past it. After a failed call to a list at hand the next comes within three eighths of the settings' grace, however many have failed. Ruled out: that the watch was reopened and answered with an old list (the log shows one call in 22 s).

--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -138,6 +138,7 @@
     discovery: Discovery = Discovery.PUSH
     ask_within_us: int = 10_000_000  # ASK: not asking for this long counts as having been told
     lists_at_hand: bool = False  # ASK: calls are answered on the spot and cost no one anything
+    drain_grace_us: int = 500_000  # how long a server that is told to drain may still be sent to
     can_cancel: bool = True
     can_probe: bool = False
     can_tell: bool = False  # balancers may send each other short messages, which may be lost
@@ -163,6 +164,7 @@
         _need(self.tick_us >= 0, "tick_us", "must not be negative")
         _need(self.answer_slack_us >= 0, "answer_slack_us", "must not be negative")
         _need(self.ask_within_us > 0, "ask_within_us", "must be above 0")
+        _need(self.drain_grace_us >= 0, "drain_grace_us", "must not be negative")
         _need(self.max_retry_after_us >= 0, "max_retry_after_us", "must not be negative")
         _need(0 <= self.over_share_worth <= 1, "over_share_worth", "must lie in 0..1")
         _need(0 < self.start_fraction <= 1, "start_fraction", "must lie above 0 and at most at 1")
--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -431,6 +431,11 @@
         self.watch_spread = min(each - WATCH_QUEUE * WATCH_EACH_US, within // 2)
         self.watch_first = max(WATCH_FIRST_US, min(each, within) // 2)
         self.watch_most = max(WATCH_MAX_US, min(2 * each, within))
+        if settings.lists_at_hand:
+            # What is at hand counts as told though no watch is open: the next call must come well within the
+            # grace for drains, however often it has failed.
+            soon = max(10 * MS, settings.drain_grace_us // 4)
+            self.watch_first = self.watch_most = min(WATCH_FIRST_US, soon)
         self.watching, self.watch_wait = False, self.watch_first
         self.table = LoadTable(settings)
         self.health = Health(self.rng, self._log)
--- a/brasshead/settings.py
+++ b/brasshead/settings.py
@@ -36,6 +36,7 @@
             report_fields=tuple(report.get("columns") or ()) if report.get("source") != "off" else (),
             discovery=q.Discovery(facts["registryMode"]),
             ask_within_us=int(rules.get("askWithinUs") or 10_000_000),
+            drain_grace_us=int(rules.get("drainGraceUs", 500_000)),
             can_cancel=bool(allowed["cancel"]), can_probe=bool(allowed["probes"]),
             second_copies=bool(allowed["secondCopies"]), max_attempts=int(allowed["maxAttempts"]),
             retry_after=bool(allowed.get("retryAfter")),
--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -18,7 +18,7 @@
 from .client import ClientTimes
 from .clock import Clock
 from .config import Config, ConfigError, load, load_again
-from .discovery import Discovery
+from .discovery import HAND_WAIT_MS, WAIT_MS, Discovery
 from .pool import REST_US, Pool
 from .server import DrainTimes, Server
 
@@ -39,7 +39,8 @@
     pool = Pool(clock, config.connect_timeout_us, config.conn_idle_us, both - clients, rest_us)
     backends = Backends(clock, settings.report_fields, pool)
     discovery = Discovery(config.discovery, config.parser, config.known.revision,
-                          config.connect_timeout_us / 1e6)
+                          config.connect_timeout_us / 1e6,
+                          HAND_WAIT_MS if settings.lists_at_hand else WAIT_MS)
     agent = Agent(Balancer(settings, config.seed), clock, backends, discovery)
     return agent, Server(settings, agent, clients, times or ClientTimes())
 
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -20,7 +20,9 @@
 
 PATH = "/catalog/members"
 WAIT_MS = 20_000  # long: each call costs discovery, which all agents share
-ANSWER_S = 2.0  # what discovery has to tell counts as told this long after the wait is over
+HAND_WAIT_MS = 2_000  # a list at hand costs no one, and what a silent watch misses counts as told after 6 s
+ANSWER_S = 2.0  # an answer may take so long
+LATE_S = 1.0  # and one that waited so long past its wait: 2 s past it, what it misses counts as told
 ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
@@ -149,8 +151,10 @@
 class Discovery:
     """Asks discovery. A watch goes on by itself from call to call until a call fails."""
 
-    def __init__(self, address: Address, parser: ListingParser, revision: int, connect_s: float) -> None:
+    def __init__(self, address: Address, parser: ListingParser, revision: int, connect_s: float,
+                 wait_ms: int = WAIT_MS) -> None:
         self._address, self._parser, self._connect_s = address, parser, connect_s
+        self._wait_ms = wait_ms
         self._revision: int | None = revision  # None: the next call asks for the whole list
         self._watching: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -185,8 +189,8 @@
                 if self._revision is None:
                     listing = await self._ask(call, PATH, ANSWER_S)
                 else:
-                    target = f"{PATH}?index={self._revision}&wait={WAIT_MS}"
-                    listing = await self._ask(call, target, WAIT_MS / 1000 + ANSWER_S)
+                    target = f"{PATH}?index={self._revision}&wait={self._wait_ms}"
+                    listing = await self._ask(call, target, self._wait_ms / 1000 + LATE_S)
                 self._revision = listing.revision
                 if listing.members or listing.complete:
                     told(listing)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,8 +19,9 @@
     return json.dumps({"revision": revision, "complete": complete, "members": members}).encode()
 
 
-def asks(peer: Peer) -> Discovery:
-    return Discovery(Address("127.0.0.1", peer.port), ListingParser(Clock(), ("a",), ("m",)), 41, 9.0)
+def asks(peer: Peer, wait_ms: int = 20_000) -> Discovery:
+    parser = ListingParser(Clock(), ("a",), ("m",))
+    return Discovery(Address("127.0.0.1", peer.port), parser, 41, 9.0, wait_ms)
 
 
 def test_the_same_start_is_always_the_same_time() -> None:
@@ -78,6 +79,30 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+@pytest.mark.parametrize("begun", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"])
+def test_a_watch_that_falls_silent_is_found_broken_soon_after_its_wait(begun: bytes) -> None:
+    # It was given up 2 s after its wait, just when what it missed counts as told; then the next call came.
+    async def run() -> None:
+        peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+        discovery = asks(peer, wait_ms=30)
+        discovery.watch(told.put_nowait)
+        silent = await peer.requests.get()
+        assert "&wait=30 " in silent.first
+        await silent.peer.write(begun)
+        async with asyncio.timeout(1.7):
+            assert await told.get() is None
+        await silent.peer.ended()
+        discovery.watch(told.put_nowait)
+        call = await peer.requests.get()
+        assert "index=41&" in call.first and peer.connections == 2
+        await call.answer(200, body(42, [GOOD]))
+        listing = await told.get()
+        assert listing is not None and listing.revision == 42 and told.empty()
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 def test_a_connection_that_discovery_closes_is_replaced() -> None:
     async def run() -> None:
         peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,6 +19,7 @@
 
 from lilacsill.__main__ import assemble
 from lilacsill.clock import Clock
+from lilacsill.discovery import LATE_S
 
 from .helpers import MS, SECOND, UNSAFE, Drive, only
 from .loopback import Peer, config_doc, load_config, member
@@ -165,6 +166,17 @@
         assert only(d.wait(3 * SECOND), Watch)
 
 
+def test_a_list_that_is_at_hand_is_asked_for_again_well_within_the_grace_for_drains() -> None:
+    # What waits there counts as told: after some failures the next call came up to 3 s later.
+    for grace_us in (500 * MS, 400 * MS, 80 * MS):
+        for seed in range(20):
+            d = Drive(UNSAFE, servers=2, seed=seed, siblings=200, discovery=Discovery.ASK, lists_at_hand=True,
+                      drain_grace_us=grace_us)
+            for _ in range(8):
+                d.list(kind=ListKind.FAILED)
+                assert only(d.wait(grace_us // 2), Watch)
+
+
 def test_a_few_balancers_call_discovery_at_once() -> None:
     d = Drive(UNSAFE, servers=2, siblings=4, discovery=Discovery.ASK)
     assert only(d.log, Watch)
@@ -267,7 +279,10 @@
         agent, _ = assemble(config, clock)
         agent.start(config.known)
         async with asyncio.timeout(3):
-            assert "index=41&wait=" in (await peer.requests.get()).first
+            first = (await peer.requests.get()).first
+        # One that falls silent is to be found so and opened anew before 6 s are over.
+        wait_s = int(first.partition("&wait=")[2].split()[0]) / 1000
+        assert first.startswith("GET /catalog/members?index=41&") and 0 < wait_s + LATE_S < 5
         await peer.stop()
 
     asyncio.run(run())
