Send nothing for a client whose close is in the kernel, and count nothing of it

Cause: only Client.on_end told of a leaving, that is a turn of the loop which may come long after, behind all other sockets of that turn; Agent._send and Exchange._put went by what had been read.

Lines at fault: client.py Client._take, agent.py Agent._send, backends.py Exchange._put and Exchange.cancel, logic.py LoadTable.ended. Each now asks the kernel (POLLRDHUP: a close behind unread bytes is seen, too) at the moment of sending; an attempt that was not sent ends as NOT_SENT and teaches the table nothing.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -222,6 +222,8 @@
 
     def ended(self, now: int, s: Server, e: AttemptEnded, load_at_send: float) -> None:
         """Learn from an attempt that has just been taken off s.open."""
+        if e.outcome is Outcome.NOT_SENT:
+            return  # nothing of it came to the server, and nothing of it stays there
         s.ended_at = now
         if self.column >= 0 and len(e.report) > self.column:
             # The report holds our own attempts too: what remains after them is the others' share.
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -142,12 +142,18 @@
             # Its answer was given while the module's events waited in the queue. The module counts what it
             # has out by the ends that it is told.
             return self._not_sent(a)
+        if held.call.gone():
+            # Not read yet: its close came while the loop was busy with others.
+            self.leave(held.call)
+            return self._not_sent(a)
         number, attempt, call = a.request, a.attempt, held.call
         held.attempts = attempt + 1
-        ask = Ask(call.method, call.target, call.headers, call.body, told_timeout=True)
+        ask = Ask(call.method, call.target, call.headers, call.body, told_timeout=True, gone=call.gone)
 
         def done(result: Result) -> None:
             self._out.pop((number, attempt), None)
+            if result.outcome is q.Outcome.NOT_SENT and call.gone():
+                self.leave(call)
             self._attempt_ended(number, attempt, a.backend, result)
 
         exchange = self._backends.exchange(a.backend, ask, a.timeout_us, done)
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -42,6 +42,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes = b""
     told_timeout: bool = False  # the backend is told how long its answer is waited for
+    gone: Callable[[], bool] = lambda: False  # whether who asks has left
 
 
 def parse_report(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...]:
@@ -87,7 +88,8 @@
         self._connecting.add_done_callback(opening.discard)
 
     def cancel(self) -> None:
-        self._end(Outcome.CANCELLED)
+        # One whose connection has not come up was never sent: nothing of it is at the backend.
+        self._end(Outcome.CANCELLED if self._connection is not None else Outcome.NOT_SENT)
 
     def end_unsent(self) -> None:
         self._end(Outcome.NOT_SENT)
@@ -116,6 +118,9 @@
         if self.ended or not connection.member.same_process(self._backends.ready(self._backend)):
             self._backends.pool.discard(connection)
             return self._end(Outcome.NOT_SENT)
+        if self._ask.gone():
+            self._backends.pool.give_back(connection, True, connection.member)
+            return self._end(Outcome.NOT_SENT)
         self._connection, connection.user = connection, self
         ask, headers = self._ask, [HOST, *self._ask.headers]
         if ask.told_timeout:
--- a/lilacsill/checks.py
+++ b/lilacsill/checks.py
@@ -37,6 +37,7 @@
     is_retry: bool
     respond: Callable[[Call, int, Headers, bytes], None]
     number: int = 0  # given by whoever takes it
+    gone: Callable[[], bool] = lambda: False  # whether its client has left, be it unread so far
 
 
 class Checker:
--- a/lilacsill/client.py
+++ b/lilacsill/client.py
@@ -162,6 +162,9 @@
                 raise Unreadable(409, "this Request-Id is open")
         except Unreadable as e:
             return self._respond(e.status, [], f"{e}\n".encode())
+        call.gone = self.gone
+        if self.gone():
+            return self.drop()  # it left while this waited to be read
         self._call = call
         self._host.open_ids.add(call.id)
         self._host.taker.take(call)
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -80,6 +80,14 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLHUP)
         return not poll.poll(0)
 
+    def gone(self) -> bool:
+        """Whether the kernel knows that the peer has closed or reset it, be it behind bytes not read yet."""
+        if self.closed or self.transport is None or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))  # a reset is told unasked
+
     def close(self) -> None:
         """Close when all is written."""
         if self.transport is not None:
