Close no fresh connection at a stop, and cut no answer off by the close behind it

Three places in one path, Server.drain and the closes that it uses, each shown by a test over loopback:

- server.py _close_idle closed connections that had just been opened on their first request, which then got no answer at all.
Those under 0.25 s stay open; one that says nothing does not hold a stop up longer.
- server.py drain ended once no connection was left, with some perhaps in the accept queue, and closing the listener reset them.
It now looks at the queue, and who comes after the last step is refused at once.
- client.py _respond closed behind the last answer: bytes that its client had sent meanwhile and that were not read made the kernel reset the connection ("ConnectionResetError: [Errno 104]" in the test in place of the end).
It now ends its sending and reads on till the client closes, as after an error.

What is given up at the end of a stop with nothing of it sent on is refused, not failed: trying again is harmless.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -74,8 +74,12 @@
             self._post(q.ClientGone(call.number))
 
     def give_up_all(self) -> None:
-        for number in list(self._held):
-            self._give_up(number)
+        for number, held in list(self._held.items()):
+            if held.attempts:
+                self._give_up(number)
+            else:  # nothing of it was sent on, so trying again is harmless
+                self._answer(number, 503, [], b"refused\n")
+                self._post(q.ClientGone(number))
 
     def _overdue(self, number: int) -> None:
         log.error("request %d: no answer from the module in time", number)
--- a/lilacsill/client.py
+++ b/lilacsill/client.py
@@ -23,7 +23,7 @@
     sweep_s: float = 0.25
     silent_s: float = 2.25  # nothing has come since it was opened
     unfinished_s: float = 2.25  # a request has begun to come; the first counts from the connection's start
-    linger_s: float = 3.0  # after an error given in the middle of a request
+    linger_s: float = 3.0  # after an answer that is the last, till the client closes
     spare_s: float = 2.0  # nothing open on it; from then on it makes way where there is no room
     kept_s: float = 20.0  # nothing open on it
 
@@ -46,6 +46,7 @@
     taker: Taker
     checker: Checker
     draining: bool
+    over: bool
     open_ids: set[bytes]
 
     def came(self, client: Client) -> None: ...
@@ -75,6 +76,10 @@
         """Nothing of a request has come, as far as the kernel knows."""
         return (self._call is None and self._reader.current is None and not self.deaf and self.quiet())
 
+    def parted(self, after_s: float) -> bool:
+        """The last answer was given so long ago, and closing now resets nothing of it."""
+        return self.lingers and self.written and self._now() - self.since > after_s and self.quiet()
+
     def allowed_s(self, times: ClientTimes) -> float | None:
         """How long it may stay as it is; None: a request is in hand, and that is timed elsewhere."""
         if self._call is not None:
@@ -157,6 +162,8 @@
                 return self._respond(503 if self._host.draining else 200, [], b"")
             if path != API:
                 raise Unreadable(404, "no such path")
+            if self._host.over:
+                return self._respond(503, [], b"refused\n")
             call = self._host.checker.check(request, self._answer)
             if call.id in self._host.open_ids:
                 raise Unreadable(409, "this Request-Id is open")
@@ -191,14 +198,14 @@
         self.send(answer(status, headers, body, request.method == b"HEAD"))
         self.asked, self.since = True, self._now()
         if last:
-            self.transport.close()
+            self.lingers = True
+            self.end()
 
     def _error(self, e: Unreadable) -> None:
-        """The answer to what is not, or not yet, a request. The rest is read and dropped: closing on unread
-        bytes would reset the answer away."""
-        if self.closed or self.transport is None or self.transport.is_closing():
+        """The answer to what is not, or not yet, a request."""
+        if self.lingers or self.closed or self.transport is None or self.transport.is_closing():
             return
         self.send(answer(e.status, [("Connection", "close")], f"{e}\n".encode()))
-        self.deaf = self.lingers = True
+        self.lingers = True
         self.since = self._now()
-        self.transport.write_eof()
+        self.end()
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -88,6 +88,14 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))  # a reset is told unasked
 
+    def end(self) -> None:
+        """Send nothing more; what still comes in is read and dropped. A close on unread bytes would reset away
+        what the peer has not read yet."""
+        assert self.transport is not None
+        self.deaf = True
+        with suppress(OSError):  # the peer may have reset it already
+            self.transport.write_eof()
+
     def close(self) -> None:
         """Close when all is written."""
         if self.transport is not None:
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from dataclasses import dataclass
 
@@ -14,6 +15,9 @@
 BACKLOG = 512
 ACCEPTS = 16  # at most so many in one turn of the loop, or a crowd could take all descriptors in one
 POLL_S = 0.01  # while the last requests end
+FRESH_S = 0.25  # a connection this young may be one whose first request is on its way
+PARTED_S = 0.1  # after its last answer a client is left so long to close
+FLUSH_S = 0.05  # at the end, for what was given up and for who came meanwhile
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,11 +42,13 @@
         self.connections: set[Client] = set()
         self.open_ids: set[bytes] = set()  # of the requests in hand
         self.draining = False  # answers ask the client to close
+        self.over = False  # and what still comes is refused
         self._listener: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
 
     async def listen(self, address: Address) -> int:
         """Returns the port, for an address whose port is 0."""
-        sock = socket.create_server((address.host, address.port), backlog=BACKLOG)
+        self._socket = sock = socket.create_server((address.host, address.port), backlog=BACKLOG)
         self._listener = await self._loop.create_server(
             lambda: Client(self, self._loop.time), sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)  # asyncio's backlog is both: what waits in the kernel, and accepts in one turn
@@ -64,11 +70,12 @@
         self.connections.discard(client)
 
     def _longest_spare(self) -> Client | None:
-        """The one that has had nothing open for longest, or that has never said anything."""
+        """The one that has had nothing open for longest, has never said anything, or has its last answer."""
         now = self._loop.time()
-        spare = sorted((c for c in self.connections if not c.asked or now - c.since > self._times.spare_s),
+        spare = sorted((c for c in self.connections
+                        if not c.asked or c.lingers or now - c.since > self._times.spare_s),
                        key=lambda c: c.since)
-        return next((c for c in spare if c.spare), None)
+        return next((c for c in spare if c.spare or c.parted(PARTED_S)), None)
 
     def _sweep(self) -> None:
         """Close or answer what has stayed as it is for too long."""
@@ -88,11 +95,13 @@
         # A request that crosses this close is sent again on a new connection; these still come.
         self._close_idle()
         await asyncio.sleep(times.serve_s - times.idle_s)
-        while self.connections and loop.time() < began + times.end_s:
+        while (self.connections or self._queued()) and loop.time() < began + times.end_s:
             self._close_idle()
             await asyncio.sleep(POLL_S)
+        self.over = True
         self.taker.give_up_all()
-        while any(not c.written for c in self.connections) and loop.time() < began + times.end_s + POLL_S:
+        while (self.connections or self._queued()) and loop.time() < began + times.end_s + FLUSH_S:
+            self._close_idle()
             await asyncio.sleep(POLL_S / 10)
         # Open to the end: closing it resets what has come in and is not accepted yet.
         self.stop()
@@ -103,6 +112,18 @@
         if self._listener is not None:
             self._listener.close()
 
+    def _queued(self) -> bool:
+        """Whether a connection waits to be accepted."""
+        if self._socket is None or self._socket.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _close_idle(self) -> None:
-        for client in [c for c in self.connections if c.spare]:
-            client.close()
+        now = self._loop.time()
+        for client in list(self.connections):
+            # One just opened is not closed on its first request: its client may count that as no answer.
+            idle = client.spare and (client.asked or now - client.since > FRESH_S)
+            if idle or client.parted(PARTED_S):
+                client.close()
