Block signals at the end of a stop, when the loop has taken its handlers away

The event loop removes its handlers as it closes, which puts the default action back: a SIGHUP that came between that and the end of the process killed it, and one that ends on SIGHUP counts as crashed. The test sends signals without pause from SIGTERM to the end: the exit status was -1 (SIGHUP) or -15 (SIGTERM), now it is 0. __main__.py serve blocks them once nothing more is to be done. Ruled out by tests that held: SIGHUP or a second SIGTERM at any earlier moment of the stop.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -65,6 +65,8 @@
     longest_s = min(LONGEST_S, max(c.deadline_us for c in config.settings.classes) / 1e6)
     await server.drain(DrainTimes(IDLE_S, SERVE_S, longest_s + FINISH_S))
     log.info("%s stops", config.name)
+    # The loop takes its handlers away as it closes: one that came after that would kill what has ended well.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
     return 0
 
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -145,6 +145,39 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("signals", [(signal.SIGHUP,), (signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM)])
+def test_signals_during_a_stop_change_nothing_up_to_the_very_end(
+        tmp_path: Path, signals: tuple[signal.Signals, ...]) -> None:
+    async def run() -> None:
+        discovery, backend = await Peer().start(), await Peer().start()
+        agent = Running(tmp_path)
+        await agent.start(config_doc(discovery.port, [member("a", backend.port)]))
+        client = await agent.client()
+        await client.write(post())
+        got = await backend.requests.get()
+        agent.process.send_signal(signal.SIGTERM)
+
+        async def go_on() -> None:
+            while agent.process.returncode is None:
+                for number in signals:
+                    agent.process.send_signal(number)
+                await asyncio.sleep(0.0005)
+
+        assert agent.process.stderr is not None
+        log = asyncio.create_task(agent.process.stderr.read())
+        flood = asyncio.create_task(go_on())
+        await got.answer()
+        assert (await client.read()).status == 200
+        client.close()
+        assert await agent.process.wait() == 0
+        await flood
+        assert b"Traceback" not in await log
+        await discovery.stop()
+        await backend.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
 @pytest.mark.parametrize("first", [signal.SIGHUP, signal.SIGTERM])
 def test_a_stop_right_behind_a_reload_and_the_other_way_round(tmp_path: Path, first: signal.Signals) -> None:
     async def run() -> None:
