Bound what a message may bring behind its head without any body: a trailer took all memory

The parser keeps the whole of a header line till it ends, in a trailer too, and Reader.feed counted unfinished bytes in heads only. Measured with a small probe: 50 MB of a trailer's line in one request were kept whole (119 MB resident, no error) where agents have 80 to 96 MB, so one bad client that sends 60 MB so, or one answer that never ends, ends the agent. Now bytes that bring no body are counted up to the limit of a head, and a parser that has found an error is let go with what it keeps.

--- a/lilacsill/message.py
+++ b/lilacsill/message.py
@@ -48,11 +48,12 @@
     """
 
     def __init__(self, parser: type[HttpRequestParser] | type[HttpResponseParser], body_limit: int) -> None:
-        self._parser = parser(self)
+        self._new, self._parser = parser, parser(self)
         self._body_limit = body_limit
         self._whole: list[Message] = []
         self.in_body = False
         self._head_bytes = self._unfinished = 0  # of a head: its lines so far, all that came without its end
+        self._body_bytes = 0  # of all messages
         self._interim = 0
         self.current: Message | None = None  # begun and not complete
         self.error: Unreadable | None = None
@@ -61,6 +62,7 @@
         """The messages that these bytes complete; `error` is set where what follows them is unreadable."""
         if self.error is not None:
             return []
+        had = self._body_bytes
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -69,10 +71,13 @@
         except HttpParserError as e:
             # A limit that a callback found comes wrapped in an error of the parser's.
             self.error = self.error or Unreadable(400, f"malformed message: {e}")
-        if self.current is not None and not self.in_body:
-            self._unfinished += len(data)
+        if self.current is not None:
+            # In a body what brings none of it: of a trailer the parser keeps all, and it may never end.
+            self._unfinished = self._unfinished + len(data) if self._body_bytes == had else 0
             if self._unfinished > HEAD_LIMIT:
                 self.error = self.error or Unreadable(400, "head too large")
+        if self.error is not None:
+            self._parser = self._new(self)  # the old one keeps what it has read of a line
         whole, self._whole = self._whole, []
         return whole
 
@@ -119,6 +124,7 @@
     def on_body(self, body: bytes) -> None:
         assert self.current is not None
         self.current.body += body
+        self._body_bytes += len(body)
         if len(self.current.body) > self._body_limit:
             self._stop(413, "body too large")
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 from collections.abc import Awaitable, Callable
@@ -354,3 +355,29 @@
         await peer.stop()
 
     asyncio.run(asyncio.wait_for(run(), 60))
+
+
+@pytest.mark.parametrize("begun", [
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: ", b"Transfer-Encoding: chunked\r\n\r\n5;extension=",
+    b"X-Header: ", b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX-Trailer: ",
+    b"Content-Length: 900000000\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n35a4e900\r\n",
+])
+def test_an_answer_that_never_ends_is_given_up_within_a_bound(begun: bytes) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b = backends(peer.port)
+        end = begin(b)
+        message = await peer.requests.get()
+        await message.peer.write(OK + begun)
+        sent = 0
+        with contextlib.suppress(ConnectionError):
+            while not end.done() and sent < 16_000_000:
+                await message.peer.write(b"x" * 65536)
+                sent += 65536
+        assert (await end).outcome is Outcome.ERROR and sent < 8_000_000
+        await message.peer.ended()
+        await served(b, peer)
+        assert peer.connections == 2
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -310,3 +310,21 @@
         assert err.startswith(b"lilacsill: ") and err.count(b"\n") == 1, err
 
     asyncio.run(asyncio.wait_for(run(), 60))
+
+
+@pytest.mark.parametrize("begun", [b"0\r\nX-Trailer: ", b"3\r\njob\r\n0\r\nX-Trailer: ", b"5;extension="])
+def test_a_request_that_never_ends_behind_its_head_is_turned_away_soon(tmp_path: Path, begun: bytes) -> None:
+    # The parser keeps all of a trailer's line: one client with 60 MB took the memory of the whole agent.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.ask(CHUNKED + begun)
+            (connection,) = w.server.connections
+            sent = 0
+            while not connection.lingers and sent < 8_000_000:
+                await client.write(b"x" * 65536)
+                sent += 65536
+                await asyncio.sleep(0)
+            assert (await client.read()).status == 400
+            assert sent < 4_000_000 and w.nothing_sent()
+
+    asyncio.run(run())
