--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -381,3 +381,36 @@
         await peer.stop()
 
     asyncio.run(asyncio.wait_for(run(), 20))
+
+
+def test_a_second_answer_that_comes_some_milliseconds_late_reaches_no_other_request() -> None:
+    clock = Stepped()
+
+    async def run() -> None:
+        peer = await Peer().start()
+        pool = Pool(clock, 10_000_000, 60_000_000, 9)
+        b = Backends(clock, FIELDS, pool)
+        b.told(listing(peer.port))
+        first = await served(b, peer)
+        clock.us += 6_000  # so late is the copy, and the next request comes ahead of it
+        end = begin(b)
+        message = await peer.requests.get()
+        await first.peer.write(OK + b"Content-Length: 4\r\n\r\ncopy")
+        await first.peer.ended()
+        await message.answer(200, b"mine")
+        assert (await end).body == b"mine" and peer.connections == 2
+        clock.us += 40_000
+        await served(b, peer)
+        assert peer.connections == 2  # rested, it is used again
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
+class Stepped(Clock):
+    """A clock that the test moves."""
+
+    us = 1_000_000
+
+    def now(self) -> int:
+        return self.us
