Open a silent watch anew at once, and let the waits of agents that share discovery end apart

In a large fleet the module's wait alone, up to 4.5 s, is longer than the 2 s between the end of a wait and what counts as told.

At fault: discovery.py, the same WAIT_MS in every call of every agent, and silence reported like a refusal. Waits of a list that is asked for are now drawn between half of 20 s and 20 s, an answer is late 0.5 s past its wait, and a watch that fell silent is opened anew at once with a call that does not wait. Ruled out: the reopened call failing (each log has one failed call).

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from random import Random
 from typing import Any
 
 from brasshead.logic import Balancer
@@ -40,7 +41,8 @@
     backends = Backends(clock, settings.report_fields, pool)
     discovery = Discovery(config.discovery, config.parser, config.known.revision,
                           config.connect_timeout_us / 1e6,
-                          HAND_WAIT_MS if settings.lists_at_hand else WAIT_MS)
+                          HAND_WAIT_MS if settings.lists_at_hand else WAIT_MS,
+                          None if settings.lists_at_hand else Random(config.seed))
     agent = Agent(Balancer(settings, config.seed), clock, backends, discovery)
     return agent, Server(settings, agent, clients, times or ClientTimes())
 
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 from httptools import HttpResponseParser
@@ -22,7 +23,7 @@
 WAIT_MS = 20_000  # long: each call costs discovery, which all agents share
 HAND_WAIT_MS = 2_000  # a list at hand costs no one, and what a silent watch misses counts as told after 6 s
 ANSWER_S = 2.0  # an answer may take so long
-LATE_S = 1.0  # and one that waited so long past its wait: 2 s past it, what it misses counts as told
+LATE_S = 0.5  # and one that waited so long past its wait: 2 s past it, what it misses counts as told
 ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
@@ -152,9 +153,12 @@
     """Asks discovery. A watch goes on by itself from call to call until a call fails."""
 
     def __init__(self, address: Address, parser: ListingParser, revision: int, connect_s: float,
-                 wait_ms: int = WAIT_MS) -> None:
+                 wait_ms: int = WAIT_MS, spread: Random | None = None) -> None:
         self._address, self._parser, self._connect_s = address, parser, connect_s
         self._wait_ms = wait_ms
+        # Where all agents share discovery: a change ends all their calls at once, and did their waits end
+        # together too, all would call again at once when they fall silent, and wait in turn beyond the time.
+        self._spread = spread
         self._revision: int | None = revision  # None: the next call asks for the whole list
         self._watching: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -183,14 +187,27 @@
 
     async def _watch(self, told: Callable[[Listing | None], None]) -> None:
         call: _Call | None = None
+        anew = False
         try:
             while True:
                 call = await self._connected(call)
                 if self._revision is None:
                     listing = await self._ask(call, PATH, ANSWER_S)
                 else:
-                    target = f"{PATH}?index={self._revision}&wait={self._wait_ms}"
-                    listing = await self._ask(call, target, self._wait_ms / 1000 + LATE_S)
+                    wait_ms = 1 if anew else self._next_wait_ms()
+                    target = f"{PATH}?index={self._revision}&wait={wait_ms}"
+                    try:
+                        late_s = ANSWER_S if anew else LATE_S
+                        listing = await self._ask(call, target, wait_ms / 1000 + late_s)
+                    except TimeoutError:
+                        if anew:
+                            raise
+                        # Silent is no sign of a crowd: opened anew at once, and what it missed is asked for.
+                        log.warning("watch of discovery fell silent; opened anew")
+                        call.drop()
+                        call, anew = None, True
+                        continue
+                anew = False
                 self._revision = listing.revision
                 if listing.members or listing.complete:
                     told(listing)
@@ -202,6 +219,11 @@
         self._watching = None  # before the report: the answer to it may be the next watch
         told(None)
 
+    def _next_wait_ms(self) -> int:
+        if self._spread is None:
+            return self._wait_ms
+        return int(self._wait_ms * (0.5 + 0.5 * self._spread.random()))
+
     async def _fetch(self, told: Callable[[Listing | None], None]) -> None:
         call: _Call | None = None
         listing: Listing | None = None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,10 +7,12 @@
 from typing import Any
 
 import pytest
-from tests.loopback import Peer, member, post, world
+from tests.loopback import Peer, config_doc, load_config, member, post, world
 
 from brasshead.interface import State
 
+from lilacsill import discovery as discovery_module
+from lilacsill.__main__ import assemble
 from lilacsill.clock import Clock
 from lilacsill.discovery import ANSWER_BYTES, Address, Discovery, Listing, ListingParser
 
@@ -90,19 +92,56 @@
         assert "&wait=30 " in silent.first
         await silent.peer.write(begun)
         async with asyncio.timeout(1.7):
-            assert await told.get() is None
+            call = await peer.requests.get()
         await silent.peer.ended()
-        discovery.watch(told.put_nowait)
-        call = await peer.requests.get()
-        assert "index=41&" in call.first and peer.connections == 2
+        # On a new connection, at once, and it does not wait again for what was missed.
+        assert "index=41&wait=1 " in call.first and peer.connections == 2
         await call.answer(200, body(42, [GOOD]))
         listing = await told.get()
         assert listing is not None and listing.revision == 42 and told.empty()
+        assert "index=42&wait=30 " in (await peer.requests.get()).first and peer.connections == 2
         await peer.stop()
 
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_watch_that_is_silent_again_when_opened_anew_has_broken(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_module, "ANSWER_S", 0.05)
+
+    async def run() -> None:
+        peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+        asks(peer, wait_ms=30).watch(told.put_nowait)
+        assert "&wait=30 " in (await peer.requests.get()).first
+        assert "&wait=1 " in (await peer.requests.get()).first
+        assert await told.get() is None and peer.requests.empty()
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_where_agents_share_discovery_their_waits_do_not_end_together(tmp_path: Path) -> None:
+    # Six watches that fell silent at once were opened anew at once, and waited in turn beyond the grace.
+    async def waits(mode: str) -> list[int]:
+        found = []
+        for i in range(20):
+            peer = await Peer().start()
+            doc = config_doc(peer.port, [])
+            doc["settings"]["registryMode"], doc["seed"] = mode, f"{i + 1:x}"
+            clock = Clock()
+            config = load_config(tmp_path, doc, clock)
+            agent, _ = assemble(config, clock)
+            agent.start(config.known)
+            first = (await peer.requests.get()).first
+            found.append(int(first.partition("&wait=")[2].split()[0]))
+            await peer.stop()
+        return found
+
+    asked = asyncio.run(waits("ask"))
+    assert min(asked) >= 10_000 and max(asked) <= 20_000
+    assert len(set(asked)) > 10 and max(asked) - min(asked) > 4_000
+    assert max(asyncio.run(waits("push"))) <= 4_000
+
+
 def test_a_connection_that_discovery_closes_is_replaced() -> None:
     async def run() -> None:
         peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
