Refuse an answer of discovery that is older than what is known, from watch and fetch alike

Discovery handed on whatever came: a watch answered with revision 40 after 42 turned a draining server back to ready, and a fetch left the revision of the watch alone, so that of two answers that cross the older one won. discovery.py Discovery._watch and _fetch; shown by two tests over loopback that force either order and fail without this. An older answer is now a failed call; the next asks for the whole list, which is believed whatever its revision, as a discovery that begins to count anew must be heard.

--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -208,6 +208,10 @@
                         call, anew = None, True
                         continue
                 anew = False
+                if self._revision is not None and listing.revision < self._revision:
+                    # Begun ahead of what is known, or of a discovery that counts anew: the whole list tells.
+                    held, self._revision = self._revision, None
+                    raise ConnectionError(f"revision {listing.revision} is older than {held}")
                 self._revision = listing.revision
                 if listing.members or listing.complete:
                     told(listing)
@@ -230,6 +234,10 @@
         try:
             call = await self._connected(None)
             listing = await self._ask(call, PATH, ANSWER_S)
+            if self._revision is not None and listing.revision < self._revision:
+                held, revision, listing = self._revision, listing.revision, None
+                raise ConnectionError(f"revision {revision} is older than {held}")
+            self._revision = listing.revision
         except Exception as e:
             _failed(e)
         finally:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -201,3 +201,47 @@
     text = body(42, members, complete=True)
     assert len(text) < ANSWER_BYTES
     assert len({m.backend.id for m in parser.parse(json.loads(text)).members}) == 5000
+
+
+def test_an_older_answer_does_not_undo_what_is_known(tmp_path: Path) -> None:
+    async def run() -> None:
+        peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+        discovery = asks(peer)
+        discovery.watch(told.put_nowait)
+        await (await peer.requests.get()).answer(200, body(42, [member("s", 9, "DRAINING")]))
+        assert (await told.get()) is not None
+        await (await peer.requests.get()).answer(200, body(40, [member("s", 9)]))
+        assert await told.get() is None  # a failed call, and the next is for the whole list
+        discovery.watch(told.put_nowait)
+        call = await peer.requests.get()
+        assert call.first == "GET /catalog/members HTTP/1.1"
+        await call.answer(200, body(3, [GOOD], complete=True))  # discovery has begun to count anew
+        listing = await told.get()
+        assert listing is not None and listing.revision == 3
+        assert "index=3&" in (await peer.requests.get()).first
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_a_fetch_and_a_watch_that_cross_end_at_the_newer_list() -> None:
+    async def run() -> None:
+        for fetch_first in (True, False):
+            peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+            discovery = asks(peer)
+            discovery.watch(told.put_nowait)
+            watch = await peer.requests.get()
+            discovery.fetch(told.put_nowait)
+            fetch = await peer.requests.get()
+            if fetch_first:
+                await fetch.answer(200, body(43, [member("s", 9, "DRAINING")], complete=True))
+                assert (listing := await told.get()) is not None and listing.revision == 43
+                await watch.answer(200, body(42, [member("s", 9)]))
+            else:
+                await watch.answer(200, body(43, [member("s", 9, "DRAINING")]))
+                assert (listing := await told.get()) is not None and listing.revision == 43
+                await fetch.answer(200, body(42, [member("s", 9)], complete=True))
+            assert await told.get() is None
+            await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
