Close a client that asks on and reads nothing, or never takes its answer

Client.on_data took the next request of a connection whose last answer the kernel had not taken whole, so one client that reads nothing could pile up answers without bound here; and expire closed such a connection by waiting for the very bytes that it does not read, so its place was never free again. One that asks on is now closed, one that only does not read is dropped once a kept connection's time is up. Both tests hang without the mend.

--- a/lilacsill/client.py
+++ b/lilacsill/client.py
@@ -96,6 +96,8 @@
             self.drop()
         elif self._reader.current is not None:
             self._error(Unreadable(408, "request not complete in time"))
+        elif not self.written:
+            self.drop()  # it does not read its answer, and a close would wait for that
         elif self.quiet():
             self.close()
 
@@ -114,6 +116,8 @@
             # Nothing behind a request in hand is looked at; line ends between messages mean nothing.
             self._ahead = self.deaf = bool(data.strip(b"\r\n"))
             return
+        if not self.written:
+            return self.drop()  # asks on and reads nothing: its answers would pile up here
         fresh = self._reader.current is None
         whole = self._reader.feed(data)
         current, error = self._reader.current, self._reader.error
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -5,13 +5,16 @@
 import json
 import os
 import signal
+import socket
 import sys
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
-from lilacsill.client import ClientTimes
-from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, world
+from lilacsill.client import Client, ClientTimes
+from tests.loopback import (
+    KEYED, UNSAFE, Conversation, Message, Peer, World, config_doc, member, post, world,
+)
 
 CHUNKED = post(drop=("Content-Length",), body=b"", Transfer_Encoding="chunked")
 BAD = {
@@ -328,3 +331,44 @@
             assert sent < 4_000_000 and w.nothing_sent()
 
     asyncio.run(run())
+
+
+async def unread(w: World) -> tuple[Conversation, Client]:
+    """A client that reads nothing, and its connection with an answer that the kernel has not taken whole."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    s.connect(("127.0.0.1", w.port))
+    client = Conversation(*await asyncio.open_connection(sock=s, limit=1024))
+    w.clients.append(client)
+    await client.write(post())
+    got = await w.request()
+    (connection,) = w.server.connections
+    assert connection.transport is not None
+    connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    await got.answer(200, b"x" * 500_000)
+    while not connection.asked:
+        await asyncio.sleep(0)
+    assert not connection.written
+    return client, connection
+
+
+def test_a_client_that_asks_on_and_reads_nothing_is_closed(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client, connection = await unread(w)
+            await client.write(post(Request_Id="9b21"))
+            while w.server.connections:
+                await asyncio.sleep(0)
+            assert w.agent._taken == 1 and w.nothing_sent()
+
+    asyncio.run(run())
+
+
+def test_a_client_that_never_reads_its_answer_does_not_keep_its_place_for_ever(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path, times=replace(SOON, sweep_s=0.02, kept_s=0.0)) as w:
+            await unread(w)
+            while w.server.connections:
+                await asyncio.sleep(0.001)
+
+    asyncio.run(run())
