Take settings with optional keys that are null, and a configuration without a list

A file nested beyond what the parser bears ends the start with the one line, too. Seen by two tests that fail without it.

--- a/brasshead/settings.py
+++ b/brasshead/settings.py
@@ -15,14 +15,14 @@
 def settings_from(facts: dict[str, Any]) -> q.Settings:
     """Translate the settings of the wire; unknown keys are skipped, a needed one that lacks is named."""
     try:
-        allowed, rules, prices = facts["allowed"], facts["rules"], facts.get("prices", {})
-        report = facts.get("report", {})
+        allowed, rules, prices = facts["allowed"], facts["rules"], facts.get("prices") or {}
+        report = facts.get("report") or {}
         classes = tuple(
             q.RequestClass(
                 name=str(c["name"]), aim_us=int(c["aimUs"]), deadline_us=int(c["deadlineUs"]),
-                effect=EFFECTS[c["repeat"]], group=q.Group(c.get("dedupScope", "all")),
-                window_us=int(c.get("memorySpanUs", 0)), worth=float(c.get("value", 1.0)),
-                late_worth=float(c.get("lateWorth", 0.0)), aim_stretch=float(c.get("aimStretch") or 0.0),
+                effect=EFFECTS[c["repeat"]], group=q.Group(c.get("dedupScope") or "all"),
+                window_us=int(c.get("memorySpanUs") or 0), worth=float(c.get("value", 1.0)),
+                late_worth=float(c.get("lateWorth") or 0.0), aim_stretch=float(c.get("aimStretch") or 0.0),
             )
             for c in facts["profiles"]
         )
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -41,7 +41,7 @@
         raise ConfigError("RELAY_CONFIG is not set")
     try:
         doc = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as e:
+    except (OSError, ValueError, RecursionError) as e:
         raise ConfigError(f"RELAY_CONFIG: {e}") from None
     try:
         return _config(doc, env, clock)
@@ -67,7 +67,8 @@
         discovery=parse_address(env.get("RELAY_DISCOVERY") or doc["discovery"]),
         seed=int(doc["seed"], 16),
         sockets=int((doc.get("limits") or {}).get("sockets") or 1024),
-        known=parser.parse(doc["known"]),
+        # Without one it begins with none, and asks for all that has ever changed.
+        known=parser.parse(doc.get("known") or {"revision": 0, "complete": True, "members": []}),
         parser=parser,
         # The agent has no channel to its peers, so the module must not count on one. Nor does a list come by
         # itself on sockets: where the simulator pushes it, here it is to be watched all the same, but from an
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,15 +1,19 @@
 """Settings validate themselves; a balancer with no or one server stays sane."""
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import pytest
+from lilacsill.clock import Clock
 from tests.helpers import MS, SAFE, SECOND, UNSAFE, Drive, only
+from tests.loopback import config_doc, load_config, settings as wire_settings
 
 from brasshead.interface import (
-    Backend, BackendsChanged, ClientGone, Discovery, Fail, ListKind, Outcome, Prices, Refuse, RequestArrived,
-    Send, Settings, TimerFired, Watch,
+    Backend, BackendsChanged, ClientGone, Discovery, Fail, Group, ListKind, Outcome, Prices, Refuse,
+    RequestArrived, Send, Settings, TimerFired, Watch,
 )
+from brasshead.settings import settings_from
 
 
 @pytest.mark.parametrize("name, value", [
@@ -87,3 +91,23 @@
     d.end(send, Outcome.OK)
     assert not d.end(send, Outcome.OK) and not d.event(ClientGone(send.request))
     assert not d.event(TimerFired(5))
+
+
+def test_optional_keys_may_be_missing_or_null() -> None:
+    full = wire_settings()
+    for key in ("prices", "report", "tenants", "localities", "skus"):
+        for facts in ({k: v for k, v in full.items() if k != key}, full | {key: None}):
+            settings_from(facts)
+    for key in ("dedupScope", "memorySpanUs", "lateWorth", "aimStretch"):
+        changes: tuple[dict[str, Any], ...] = ({}, {key: None})
+        for change in changes:
+            first = {k: v for k, v in full["profiles"][0].items() if k != key} | change
+            cls = settings_from(full | {"profiles": [first]}).classes[0]
+            assert cls.group is Group.ALL and cls.late_worth == 0.0
+
+
+def test_a_configuration_without_a_list_starts_with_none(tmp_path: Path) -> None:
+    doc = config_doc(9, [])
+    del doc["known"]
+    config = load_config(tmp_path, doc, Clock())
+    assert config.known.revision == 0 and config.known.complete and not config.known.members
