--- a/lilacsill/pool.py
+++ b/lilacsill/pool.py
@@ -14,8 +14,8 @@
 from .message import Message, Reader
 
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
-# Bytes that do not belong to an answer come right behind it, a second answer some milliseconds late. Till then
-# a connection is not used again: the next request would be served with what was not made for it.
+# Bytes that belong to no answer come right behind it, a second answer some milliseconds late. Till then a
+# connection is not used again: the next request would be served with what was not made for it.
 REST_US = 10_000
 ANSWER_BYTES = 1024 * 1024  # they come with 400 KB on busy days; the body is held whole
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -64,7 +64,8 @@
             readable(here)
             port = w.backends[first].port
             w.agent._listed({
-                "drains": listing(member(name, port, "DRAINING")), "goes": listing(member(name, port, "DELETED")),
+                "drains": listing(member(name, port, "DRAINING")),
+                "goes": listing(member(name, port, "DELETED")),
                 "is not listed": listing(member(f"s{1 - first}", other.port), complete=True),
                 "moves": listing(member(name, other.port, up=1_700_000_000_000)),
             }[how])
