Write no repeat behind the window of its group, however late its connection comes up

The suspect from reading is shown by tests over loopback: `Balancer._may_go` checks the window of a repeat when the server is chosen, and `Exchange._put` writes when the connection comes up, up to the connect time-out later. It looked again at the drain, the process and the client, not at the window. With a connection that is handed over when the window has passed, the repeat went out. Nor did it look at the zone and cell that make the group, which a list may change meanwhile. The same hole had a second side: where copies are allowed, a first attempt whose connection is still to come up becomes the repeat if its copy runs first.

`Send.write_within_us` now says how much of the window is left. The agent puts that bound on the attempt and on earlier ones of the request that are still out: not written whole by then, they end as never sent, by a look at the clock before the bytes go out and by a timer where they are held up half written. The request is answered at once.

Also looked at, where else a choice grows old before its bytes go out: drain, restart under the same id and a moved address (checked by the process in the list), the client (asked in the kernel), the deadline (now looked at too, where its timer has not fired yet), requests held or waiting for a probe (chosen anew by `_settle`).

--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -281,6 +281,9 @@
     backend: BackendId
     timeout_us: int
     attempt: int = 0  # as AttemptEnded counts them
+    # Attempts of this request that are not written whole so soon end as NOT_SENT, this one and earlier ones
+    # still out: a connection may come up long after the choice, when what allowed a repeat is over. 0: none.
+    write_within_us: int = 0
 
 
 @dataclass(slots=True)
--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -734,12 +734,16 @@
             return False
         if not r.may_have_run or r.cls.effect is Effect.SAFE:
             return True
-        _, first, sent = r.may_have_run[0]
-        if r.cls.effect is Effect.UNSAFE or self.now >= sent + r.cls.window_us - 2 * self.settings.tick_us:
+        _, first, _ = r.may_have_run[0]
+        if r.cls.effect is Effect.UNSAFE or self._window_left(r) <= 0:
             return False
         return r.cls.group is Group.ALL or (
             s.zone == first.zone if r.cls.group is Group.ZONE else s.cell == first.cell)
 
+    def _window_left(self, r: Request) -> int:
+        """How long a repeat of what may have run is still dropped by the others of its group."""
+        return r.may_have_run[0][2] + r.cls.window_us - 2 * self.settings.tick_us - self.now
+
     def _admits(self, r: Request, s: Server) -> bool:
         # Where peers tell every answer, a server of which nothing is heard hangs: balancers that each found
         # out by themselves lost a tenth of all requests. Some still try it; of cold ones less is heard.
@@ -838,12 +842,15 @@
         now, attempt = self.now, r.sends
         self.sent_at[r.cls.name] = now
         r.sends += 1
+        bounded = r.may_have_run and r.cls.effect is Effect.KEYED
+        write_within_us = max(1, self._window_left(r)) if bounded else 0
         r.out[attempt] = (s, now, load)
         r.may_have_run.append((attempt, s, now))
         r.tried.append(s)
         s.open[(r.id, attempt)] = now
         self.out += 1
-        self.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.margin), attempt))
+        timeout_us = max(1, r.deadline - now - self.margin)
+        self.actions.append(Send(r.id, s.id, timeout_us, attempt, write_within_us))
         if r.cls.effect is not Effect.UNSAFE and self.table.typical and self.settings.second_copies:
             at = now + int(3 * self.table.typical)
             if at + self.table.typical < r.aim_at:
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -163,6 +163,11 @@
         exchange = self._backends.exchange(a.backend, ask, a.timeout_us, done)
         if not exchange.ended:
             self._out[number, attempt] = exchange
+        if a.write_within_us:
+            # An earlier one whose connection is still to come up would be the repeat if this one ran first.
+            for n in range(attempt + 1):
+                if (number, n) in self._out:
+                    self._out[number, n].write_within(a.write_within_us)
 
     def _not_sent(self, a: q.Send) -> None:
         self._attempt_ended(a.request, a.attempt, a.backend, Result(q.Outcome.NOT_SENT, 0))
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -58,6 +58,12 @@
     return report if all(0.0 <= x < 1e9 for x in report) else ()
 
 
+def _same_group(one: Member | None, other: Member | None) -> bool:
+    """Whether a repeat that the one may get may go to the other as well."""
+    return (one is not None and other is not None and one.backend.zone == other.backend.zone
+            and one.backend.cell == other.backend.cell)
+
+
 class Exchange:
     """One attempt or probe. Ends exactly once, with a Result."""
 
@@ -66,7 +72,9 @@
         self._backends, self._backend, self._ask, self._done = backends, backend, ask, done
         self._loop = asyncio.get_running_loop()
         self._began = backends.clock.now()
-        self._until = self._began + timeout_us
+        self._until = self._write_until = self._began + timeout_us
+        self._unwritten: asyncio.TimerHandle | None = None
+        self._chosen: Member | None = None  # as the list had it when it was chosen
         self._connection: Pooled | None = None
         self._connecting: asyncio.Task[None] | None = None
         self._answer: Message | None = None
@@ -74,7 +82,7 @@
         self._timer = self._loop.call_later(timeout_us / 1e6, self._timed_out)
 
     def start(self) -> None:
-        member = self._backends.ready(self._backend)
+        member = self._chosen = self._backends.ready(self._backend)
         if member is None:
             return self._end(Outcome.NOT_SENT)
         connection = self._backends.pool.take(member)
@@ -94,6 +102,20 @@
     def end_unsent(self) -> None:
         self._end(Outcome.NOT_SENT)
 
+    def write_within(self, us: int) -> None:
+        """Its last byte is written so soon or never; without effect where it is written or has ended."""
+        until = self._backends.clock.now() + us
+        if self.ended or self._sent() or until >= self._write_until:
+            return
+        self._write_until = until
+        if self._unwritten is not None:
+            self._unwritten.cancel()
+        self._unwritten = self._loop.call_later(us / 1e6, self._not_written)
+
+    def _not_written(self) -> None:
+        if not self._sent():
+            self._end(Outcome.NOT_SENT)
+
     async def _connect(self, member: Member) -> None:
         try:
             connection = await self._backends.pool.open(member)
@@ -114,18 +136,21 @@
             self._end(self._lost())
 
     def _put(self, connection: Pooled) -> None:
-        # The list may have changed while the connection came up: nothing new goes to one that drains.
-        if self.ended or not connection.member.same_process(self._backends.ready(self._backend)):
+        # The list may have changed while the connection came up: nothing new goes to one that drains, nor a
+        # repeat to one that has left its group.
+        ready = self._backends.ready(self._backend)
+        if self.ended or not connection.member.same_process(ready) or not _same_group(self._chosen, ready):
             self._backends.pool.discard(connection)
             return self._end(Outcome.NOT_SENT)
-        if self._ask.gone():
+        # The time may be over for which it was chosen, though no timer has fired yet.
+        now = self._backends.clock.now()
+        if self._ask.gone() or now >= self._write_until:
             self._backends.pool.give_back(connection, True, connection.member)
             return self._end(Outcome.NOT_SENT)
         self._connection, connection.user = connection, self
         ask, headers = self._ask, [HOST, *self._ask.headers]
         if ask.told_timeout:
-            left_ms = max(1, (self._until - self._backends.clock.now()) // 1000)
-            headers.append((b"Request-Timeout-Ms", b"%d" % left_ms))
+            headers.append((b"Request-Timeout-Ms", b"%d" % max(1, (self._until - now) // 1000)))
         connection.send(request(ask.method, ask.target, headers, ask.body))
 
     # What comes back
@@ -163,6 +188,8 @@
             return
         self.ended = True
         self._timer.cancel()
+        if self._unwritten is not None:
+            self._unwritten.cancel()
         if self._connecting is not None and not self._connecting.done():
             self._connecting.cancel()
         answer = self._answer
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -138,6 +138,43 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_what_is_not_written_whole_within_its_bound_is_never_written_whole() -> None:
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as peer:
+            peer.setblocking(False)
+            there = backends(peer.getsockname()[1])
+            end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+            large = Ask(b"POST", b"/api", [(b"Request-Id", b"1")], b"x" * 50_000_000)
+            exchange = there.exchange("s", large, 60_000_000, end.set_result)
+            taken, _ = await asyncio.get_running_loop().sock_accept(peer)
+            with taken:
+                exchange.write_within(50_000)
+                exchange.write_within(60_000_000)  # a later bound does not lift the earlier one
+                assert (await end).outcome is Outcome.NOT_SENT
+                got = 0
+                with contextlib.suppress(ConnectionError):
+                    while data := await asyncio.get_running_loop().sock_recv(taken, 1 << 20):
+                        got += len(data)
+                assert got < 50_000_000
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_a_bound_on_writing_does_not_end_what_is_written() -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        exchange = backends(peer.port).exchange("s", ASK, 60_000_000, end.set_result)
+        got = await peer.requests.get()
+        exchange.write_within(1)
+        await asyncio.sleep(0.02)
+        await got.answer()
+        assert (await end).outcome is Outcome.OK
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 def test_a_time_out_closes_the_connection_before_it_is_reported() -> None:
     async def run() -> None:
         peer = await Peer().start()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 import select
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 from tests.loopback import LOAD, UNSAFE, Message, Peer, World, member, post, world
@@ -161,6 +162,96 @@
     asyncio.run(run())
 
 
+class Shifted:
+    """Puts the agent's clock forward."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.us = 0
+        monkeypatch.setattr(Clock, "now", lambda _: time.monotonic_ns() // 1000 + self.us)
+
+
+class Late:
+    """The nth connection that is opened from now on is up and handed over only when the test lets it."""
+
+    def __init__(self, w: World, monkeypatch: pytest.MonkeyPatch, nth: int) -> None:
+        self.up, self.let, self._left = asyncio.Event(), asyncio.Event(), nth
+        self._open = w.agent._backends.pool.open
+        monkeypatch.setattr(w.agent._backends.pool, "open", self._late)
+
+    async def _late(self, there: Any) -> Pooled:
+        self._left -= 1
+        held = self._left == 0
+        connection = await self._open(there)
+        if held:
+            self.up.set()
+            await self.let.wait()
+        return connection
+
+
+WINDOW_US = 15_000_000  # of the keyed class
+
+
+def test_a_repeat_whose_connection_comes_up_behind_its_window_is_not_sent(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        clock = Shifted(monkeypatch)
+        async with world(tmp_path, backends=2) as w:
+            late = Late(w, monkeypatch, nth=2)
+            client = await w.ask(post())
+            await (await w.request()).answer(500)  # it may have run
+            await late.up.wait()
+            clock.us += WINDOW_US
+            late.let.set()
+            assert (await client.read()).status == 503  # at once, though half of its time is left
+            assert w.nothing_sent() and not w.agent._out and w.agent._balancer.out == 0
+
+    asyncio.run(run())
+
+
+def test_a_first_attempt_whose_connection_comes_up_behind_the_window_of_its_copy_is_not_sent(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        clock = Shifted(monkeypatch)
+        async with world(tmp_path, backends=2, secondCopies=True) as w:
+            for _ in range(3):  # a typical latency is known
+                await idle(w)
+            for name in ("s0", "s1"):
+                w.agent._backends.pool.forget(name)
+            late = Late(w, monkeypatch, nth=1)
+            client = await w.ask(post(Request_Id="9b31"))
+            await late.up.wait()
+            copy = await w.request()
+            clock.us += WINDOW_US
+            late.let.set()
+            while len(w.agent._out) > 1:
+                await asyncio.sleep(0)
+            await copy.answer()
+            assert (await client.read()).status == 200
+            assert w.nothing_sent() and w.agent._balancer.out == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("where", ["locality", "cell"])
+def test_nothing_goes_to_a_server_that_changes_its_group_while_a_connection_comes_up(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, where: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            late = Late(w, monkeypatch, nth=1)
+            client = await w.ask(post())
+            await late.up.wait()
+            other = member("s0", w.backends[0].port) | {where: {"locality": "b", "cell": 2}[where]}
+            w.agent._listed(ListingParser(Clock(), ("a", "b"), ("m",)).parse(
+                {"revision": 42, "complete": False, "members": [other]}))
+            late.let.set()
+            again = await w.request()  # chosen anew
+            assert w.backends[0].connections == 2
+            await again.answer()
+            assert (await client.read()).status == 200
+
+    asyncio.run(run())
+
+
 async def idle(w: World) -> Message:
     """One request served; its connection is kept."""
     client = await w.ask(post())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -105,6 +105,17 @@
     assert isinstance(finals(d, request)[0], final)
 
 
+@pytest.mark.parametrize("outcome", [*RAN, *UNSEEN])
+def test_a_keyed_repeat_must_be_written_within_what_is_left_of_its_window(outcome: Outcome) -> None:
+    d = Drive(keyed(Group.ALL, window_us=SECOND))
+    _, actions = d.request(patience_us=2 * SECOND)
+    first = only(actions, Send)[0]
+    assert first.write_within_us == 0
+    d.now += 300 * MS
+    again = only(d.end(first, outcome), Send)[0]
+    assert again.write_within_us == 0 if outcome in UNSEEN else 600 * MS < again.write_within_us <= 700 * MS
+
+
 @pytest.mark.parametrize("cls", [SAFE, keyed(Group.ALL)])
 def test_one_attempt_at_a_time_where_copies_are_forbidden(cls: RequestClass) -> None:
     # Nor is an overdue attempt cancelled to be tried elsewhere: on a quiet ibarra day, where a cancel stops
