Find a silent call to discovery within 2 s where it follows one that failed

Where agents share discovery, the call after a failed one waited for changes like any other: begun within an outage and then silent, it was found so after up to 20.5 s, and what it missed counted as told 6 s after the end. Its connection could take as long as the settings allow a map server, whatever that is. Now such a call does not wait, and it has 2 s in all, connection included; so has one for the whole list. A list at hand is asked for as before.

--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -22,7 +22,7 @@
 PATH = "/catalog/members"
 WAIT_MS = 20_000  # long: each call costs discovery, which all agents share
 HAND_WAIT_MS = 2_000  # a list at hand costs no one, and what a silent watch misses counts as told after 6 s
-ANSWER_S = 2.0  # an answer may take so long
+ANSWER_S = 2.0  # a call that need not wait may take so long, its connection included
 LATE_S = 0.5  # and one that waited so long past its wait: 2 s past it, what it misses counts as told
 ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
@@ -160,6 +160,8 @@
         # together too, all would call again at once when they fall silent, and wait in turn beyond the time.
         self._spread = spread
         self._revision: int | None = revision  # None: the next call asks for the whole list
+        # The next call does not wait: what was missed is told at once, and silence is found soon.
+        self._anew = False
         self._watching: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
 
@@ -187,27 +189,26 @@
 
     async def _watch(self, told: Callable[[Listing | None], None]) -> None:
         call: _Call | None = None
-        anew = False
         try:
             while True:
-                call = await self._connected(call)
-                if self._revision is None:
-                    listing = await self._ask(call, PATH, ANSWER_S)
+                if self._revision is None or self._anew:
+                    async with asyncio.timeout(ANSWER_S):
+                        call = await self._connected(call)
+                        listing = await self._ask(call, PATH if self._revision is None else self._since(1))
                 else:
-                    wait_ms = 1 if anew else self._next_wait_ms()
-                    target = f"{PATH}?index={self._revision}&wait={wait_ms}"
+                    call = await self._connected(call)
+                    wait_ms = self._next_wait_ms()
                     try:
-                        late_s = ANSWER_S if anew else LATE_S
-                        listing = await self._ask(call, target, wait_ms / 1000 + late_s)
+                        # Bounded: a machine that is cut off says nothing, and the watch would wait for ever.
+                        async with asyncio.timeout(wait_ms / 1000 + LATE_S):
+                            listing = await self._ask(call, self._since(wait_ms))
                     except TimeoutError:
-                        if anew:
-                            raise
                         # Silent is no sign of a crowd: opened anew at once, and what it missed is asked for.
                         log.warning("watch of discovery fell silent; opened anew")
                         call.drop()
-                        call, anew = None, True
+                        call, self._anew = None, True
                         continue
-                anew = False
+                self._anew = False
                 if self._revision is not None and listing.revision < self._revision:
                     # Begun ahead of what is known, or of a discovery that counts anew: the whole list tells.
                     held, self._revision = self._revision, None
@@ -217,12 +218,19 @@
                     told(listing)
         except Exception as e:
             _failed(e)
+            # Where all agents share discovery, one that waited again would be found silent 20 s later, when
+            # what it missed has long counted as told. A list at hand comes as soon as it can be had.
+            self._anew = self._spread is not None
         finally:
             if call is not None:
                 call.drop()
         self._watching = None  # before the report: the answer to it may be the next watch
         told(None)
 
+    def _since(self, wait_ms: int) -> str:
+        """What asks for the changes since the list that is held."""
+        return f"{PATH}?index={self._revision}&wait={wait_ms}"
+
     def _next_wait_ms(self) -> int:
         if self._spread is None:
             return self._wait_ms
@@ -232,8 +240,9 @@
         call: _Call | None = None
         listing: Listing | None = None
         try:
-            call = await self._connected(None)
-            listing = await self._ask(call, PATH, ANSWER_S)
+            async with asyncio.timeout(ANSWER_S):
+                call = await self._connected(None)
+                listing = await self._ask(call, PATH)
             if self._revision is not None and listing.revision < self._revision:
                 held, revision, listing = self._revision, listing.revision, None
                 raise ConnectionError(f"revision {revision} is older than {held}")
@@ -252,14 +261,12 @@
                 return call
             call.drop()
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(self._connect_s):
+        async with asyncio.timeout(min(self._connect_s, ANSWER_S)):
             _, call = await loop.create_connection(_Call, self._address.host, self._address.port)
         return call
 
-    async def _ask(self, call: _Call, target: str, limit_s: float) -> Listing:
-        # Bounded: a machine that is cut off says nothing, and the watch would wait for ever.
-        async with asyncio.timeout(limit_s):
-            return self._parser.parse(json.loads(await call.get(target)))
+    async def _ask(self, call: _Call, target: str) -> Listing:
+        return self._parser.parse(json.loads(await call.get(target)))
 
 
 def _failed(e: Exception) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,7 +2,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -119,6 +121,51 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_where_agents_share_discovery_the_call_after_a_failed_one_does_not_wait(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Begun within an outage it may be silent for good: it was found so after up to 20.5 s, told or not.
+    monkeypatch.setattr(discovery_module, "ANSWER_S", 0.05)
+
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w:
+            first = await w.discovery.requests.get()
+            await first.answer(503, b"")
+            silent = await w.discovery.requests.get()
+            assert "index=41&wait=1 " in silent.first
+            await silent.peer.ended()
+            call = await w.discovery.requests.get()
+            assert "index=41&wait=1 " in call.first
+            await call.answer(200, body(42, [GOOD]))
+            call = await w.discovery.requests.get()
+            assert "index=42&wait=" in call.first and "&wait=1 " not in call.first
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("revision", [0, None])
+def test_a_connection_to_discovery_that_does_not_come_up_is_given_up_whatever_the_settings_allow(
+        monkeypatch: pytest.MonkeyPatch, revision: int | None) -> None:
+    monkeypatch.setattr(discovery_module, "ANSWER_S", 0.05)
+
+    async def run() -> None:
+        with socket.socket() as full, contextlib.ExitStack() as kept:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            for _ in range(8):  # its queue is filled, and no one accepts: the next one hangs
+                s = kept.enter_context(socket.socket())
+                s.setblocking(False)
+                s.connect_ex(full.getsockname())
+            told = asyncio.Queue[Listing | None]()
+            parser = ListingParser(Clock(), ("a",), ("m",))
+            discovery = Discovery(Address(*full.getsockname()), parser, 0, connect_s=60.0)
+            discovery._revision = revision
+            discovery.watch(told.put_nowait)
+            async with asyncio.timeout(5):
+                assert await told.get() is None
+
+    asyncio.run(run())
+
+
 def test_where_agents_share_discovery_their_waits_do_not_end_together(tmp_path: Path) -> None:
     # Six watches that fell silent at once were opened anew at once, and waited in turn beyond the grace.
     async def waits(mode: str) -> list[int]:
