Call discovery again so soon that no outage's end goes unheard for 6 s

After failed calls the wait grew with the number of balancers, to half of the time after which a list counts as told and, as drawn, to 9 s of 6: of 200, one whose call failed just before the end of an outage sent to servers that drained for seconds too long. With 2 balancers it was 3 s, and 2 s for a call that fails late did not fit. Now the longest wait as drawn is what the settings leave beside two calls: Settings.list_call_us, on sockets 2 s of 6 s. The waits of all stay spread over two thirds of that, 1.3 s.

Counted: for 2, 20, 200 and 6,300 balancers a call that fails after 2 s, the longest wait, and the next call with 2 s to its answer fit into 6 s, and after 0.25 s for a connection one further failure fits as well. With 200 and 6,300 whose watches broke at once, and calls refused on the spot, no 100 ms hold more than twice the even part and two deviations. More calls come while discovery is down: of 200 some 150 a second, where it was 33.

--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -137,6 +137,7 @@
     report_fields: tuple[str, ...] = ()  # meaning of the numbers in a load report; () if there are none
     discovery: Discovery = Discovery.PUSH
     ask_within_us: int = 10_000_000  # ASK: not asking for this long counts as having been told
+    list_call_us: int = 0  # ASK: a call that need not wait is answered, or has failed, within this
     lists_at_hand: bool = False  # ASK: calls are answered on the spot and cost no one anything
     drain_grace_us: int = 500_000  # how long a server that is told to drain may still be sent to
     can_cancel: bool = True
@@ -164,6 +165,8 @@
         _need(self.tick_us >= 0, "tick_us", "must not be negative")
         _need(self.answer_slack_us >= 0, "answer_slack_us", "must not be negative")
         _need(self.ask_within_us > 0, "ask_within_us", "must be above 0")
+        _need(0 <= 2 * self.list_call_us < self.ask_within_us, "list_call_us",
+              "must not be negative, and two calls must take less than ask_within_us")
         _need(self.drain_grace_us >= 0, "drain_grace_us", "must not be negative")
         _need(self.max_retry_after_us >= 0, "max_retry_after_us", "must not be negative")
         _need(0 <= self.over_share_worth <= 1, "over_share_worth", "must lie in 0..1")
--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -58,6 +58,7 @@
 SOON = 0.15  # such a one is looked at this often, as a share of the typical latency
 IN_TIME = 1.5  # and held while so many typical latencies are left to its aim
 WATCH_FIRST_US, WATCH_MAX_US = 200 * MS, 2 * SECOND  # wait after a failed list call, doubled each time
+WATCH_DRAW = (0.5, 1.5)  # drawn from such multiples, so that those that failed together don't call together
 WATCH_EACH_US = 100 * MS  # but discovery is given so long for the call of each balancer
 WATCH_QUEUE = 10  # and the first calls of so many may come at once
 
@@ -430,9 +431,12 @@
         # servers that drained for as long. And a list that is at hand needs no spreading.
         each = 0 if settings.lists_at_hand else settings.siblings * WATCH_EACH_US
         within = settings.ask_within_us
+        # It counts as told, too, so long after discovery can be reached again: a call that began just before
+        # and fails, the longest wait, and the next call with its answer must fit in.
+        longest = int((within - 2 * settings.list_call_us) / WATCH_DRAW[1])
         self.watch_spread = min(each - WATCH_QUEUE * WATCH_EACH_US, within // 2)
-        self.watch_first = max(WATCH_FIRST_US, min(each, within) // 2)
-        self.watch_most = max(WATCH_MAX_US, min(2 * each, within))
+        self.watch_first = min(longest, max(WATCH_FIRST_US, min(each, within) // 2))
+        self.watch_most = min(longest, max(WATCH_MAX_US, min(2 * each, within)))
         if settings.lists_at_hand:
             # What is at hand counts as told though no watch is open: the next call must come well within the
             # grace for drains, however often it has failed.
@@ -496,7 +500,7 @@
         now = self.now
         if e.kind is ListKind.FAILED:
             self.watching = False
-            self._later(now + int(self.watch_wait * (0.5 + self.rng.random())), self._watch, None)
+            self._later(now + int(self.watch_wait * self.rng.uniform(*WATCH_DRAW)), self._watch, None)
             self.watch_wait = min(2 * self.watch_wait, self.watch_most)
             return
         if e.kind is not ListKind.CACHED:
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -11,7 +11,7 @@
 from brasshead.settings import SettingsError, settings_from
 
 from .clock import Clock
-from .discovery import Address, Listing, ListingParser, parse_address
+from .discovery import ANSWER_S, Address, Listing, ListingParser, parse_address
 
 TOLD_US = 6_000_000  # on sockets, what discovery has to tell counts as told so much later
 
@@ -61,6 +61,7 @@
     allowed = facts["allowed"]
     parser = ListingParser(clock, tuple(facts.get("localities") or ()), tuple(facts.get("skus") or ()))
     settings = settings_from(facts)
+    told_us = min(settings.ask_within_us, TOLD_US)
     return Config(
         name=str(doc.get("name") or env.get("RELAY_NAME") or ""),
         listen=parse_address(env.get("RELAY_LISTEN") or doc["listen"]),
@@ -75,7 +76,7 @@
         # agent on this machine, which answers at once and at no cost.
         settings=replace(settings, can_tell=False, discovery=Discovery.ASK,
                          lists_at_hand=settings.discovery is Discovery.PUSH,
-                         ask_within_us=min(settings.ask_within_us, TOLD_US)),
+                         ask_within_us=told_us, list_call_us=min(int(ANSWER_S * 1e6), told_us // 3)),
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
     )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,9 +2,13 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_left
+from math import sqrt
 from pathlib import Path
 from random import Random
 
+import pytest
+
 from brasshead.interface import (
     Backend,
     Discovery,
@@ -14,12 +18,13 @@
     RequestArrived,
     RequestClass,
     Send,
+    TimerFired,
     Watch,
 )
 
 from lilacsill.__main__ import assemble
 from lilacsill.clock import Clock
-from lilacsill.discovery import LATE_S
+from lilacsill.discovery import ANSWER_S, LATE_S
 
 from .helpers import MS, SECOND, UNSAFE, Drive, only
 from .loopback import Peer, config_doc, load_config, member
@@ -158,6 +163,64 @@
             assert only(d.wait(9 * SECOND), Watch)
 
 
+TOLD_US, CALL_US = 6 * SECOND, int(ANSWER_S * SECOND)  # as the agent on sockets sets them
+
+
+def next_call(d: Drive) -> int:
+    """When it calls discovery next."""
+    while True:
+        timer = min(d.timers)
+        d.timers.remove(timer)
+        d.now = timer[0]
+        if only(d.event(TimerFired(timer[1])), Watch):
+            return d.now
+
+
+def calls_that_fail(siblings: int, takes_us: int, count: int) -> list[list[int]]:
+    """When each balancer of a fleet whose watches broke at once calls a discovery that is down.
+
+    Each call fails so long after it began.
+    """
+    fleet = []
+    for seed in range(siblings):
+        d = Drive(UNSAFE, servers=2, seed=seed, siblings=siblings, me=seed, discovery=Discovery.ASK,
+                  ask_within_us=TOLD_US, list_call_us=CALL_US)
+        if not only(d.log, Watch):
+            next_call(d)
+        d.now, calls = 10 * SECOND, list[int]()
+        d.list(kind=ListKind.FAILED)
+        for _ in range(count):
+            calls.append(next_call(d))
+            d.now += takes_us
+            d.list(kind=ListKind.FAILED)
+        fleet.append(calls)
+    return fleet
+
+
+@pytest.mark.parametrize("siblings", [2, 20, 200, 6300])
+def test_after_an_outage_the_list_is_heard_of_before_it_counts_as_told(siblings: int) -> None:
+    # Of two hundred each waited up to 9 s after a failed call, when 6 s after the end all counted as told.
+    connect_us, few = 250 * MS, siblings < 1000
+    # The outage may end right behind the beginning of any call, which fails all the same.
+    for calls in calls_that_fail(siblings, CALL_US, 12 if few else 4):
+        assert max(after - at for at, after in zip(calls, calls[1:], strict=False)) + CALL_US <= TOLD_US
+    # A connection that does not come up fails sooner: then one more may, and the next is still in time.
+    for calls in calls_that_fail(siblings, connect_us, 12 if few else 4):
+        assert max(after - at for at, after in zip(calls, calls[2:], strict=False)) <= TOLD_US
+
+
+@pytest.mark.parametrize("siblings", [200, 6300])
+def test_in_an_outage_the_calls_of_a_fleet_spread_over_the_time_there_is(siblings: int) -> None:
+    fleet = calls_that_fail(siblings, 0, 6)
+    waits = [after - at for calls in fleet for at, after in zip(calls, calls[1:], strict=False)]
+    spread = max(waits) - min(waits)
+    assert spread >= TOLD_US / 5
+    at = sorted(t for calls in fleet for t in calls)
+    most = max(bisect_left(at, t + 100 * MS) - i for i, t in enumerate(at))
+    even = siblings * 100 * MS / spread
+    assert most <= 2 * even + 2 * sqrt(even), (most, even)  # with what is chance
+
+
 def test_a_list_that_is_at_hand_is_asked_for_at_once_however_large_the_fleet() -> None:
     d = Drive(UNSAFE, servers=2, siblings=200, discovery=Discovery.ASK, lists_at_hand=True)
     assert only(d.log, Watch)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 from lilacsill.clock import Clock
+from lilacsill.discovery import ANSWER_S
 from tests.helpers import MS, SAFE, SECOND, UNSAFE, Drive, only
 from tests.loopback import config_doc, load_config, settings as wire_settings
 
@@ -21,6 +22,7 @@
     ("warm_up_us", -1),
     ("fall_multiple", 0.0), ("fall_multiple", float("inf")), ("me", 1),
     ("fall_window_us", 0), ("tick_us", -1), ("ask_within_us", 0),
+    ("list_call_us", -1), ("list_call_us", 5_000_000),
 ])
 def test_out_of_range_names_the_field(name: str, value: float) -> None:
     values: dict[str, Any] = {name: value}
@@ -111,3 +113,13 @@
     del doc["known"]
     config = load_config(tmp_path, doc, Clock())
     assert config.known.revision == 0 and config.known.complete and not config.known.members
+
+
+@pytest.mark.parametrize("within_us, told_us", [(0, 6 * SECOND), (9 * SECOND, 6 * SECOND), (SECOND, SECOND)])
+def test_the_calls_that_must_fit_in_before_a_list_counts_as_told(
+        tmp_path: Path, within_us: int, told_us: int) -> None:
+    doc = config_doc(9, [])
+    doc["settings"]["rules"]["askWithinUs"] = within_us
+    settings = load_config(tmp_path, doc, Clock()).settings
+    assert settings.ask_within_us == told_us
+    assert settings.list_call_us == min(int(ANSWER_S * SECOND), told_us // 3)
