--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -44,7 +44,7 @@
     except (OSError, ValueError, RecursionError) as e:
         raise ConfigError(f"RELAY_CONFIG: {e}") from None
     try:
-        return _config(doc, env, clock)
+        return from_doc(doc, env, clock)
     except KeyError as e:
         raise ConfigError(f"RELAY_CONFIG: {e} is missing") from None
     except (TypeError, AttributeError, ValueError, OverflowError, SettingsError) as e:
@@ -56,7 +56,8 @@
     return load({k: v for k, v in env.items() if k != "RELAY_DISCOVERY"}, clock)
 
 
-def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
+def from_doc(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
+    """The configuration in a document as RELAY_CONFIG's file holds it; raises what its first fault raises."""
     facts = doc["settings"]
     allowed = facts["allowed"]
     parser = ListingParser(clock, tuple(facts.get("localities") or ()), tuple(facts.get("skus") or ()))
--- /dev/null
+++ b/tests/test_small_fleet.py
@@ -0,0 +1,90 @@
+"""The small fleet as a person runs it: it counts right, says what is wrong in one line, and leaves nothing behind."""
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import psutil
+import pytest
+
+ROOT = Path(__file__).parent.parent
+SMALL = ROOT / "experiments" / "small.toml"
+
+
+def fleet(*arguments: str | Path) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "fleet", *map(str, arguments)], cwd=ROOT, timeout=120,
+                          capture_output=True, text=True)
+
+
+def figures(folder: Path) -> dict[str, Any]:
+    (path,) = folder.glob("*.json")
+    return {name: f["median"] for name, f in json.loads(path.read_text())["figures"].items()}
+
+
+def test_every_agent_has_the_last_change_and_no_request_is_lost(tmp_path: Path) -> None:
+    ended = fleet("run", SMALL, "--quiet", "--out", tmp_path)
+    assert ended.returncode == 0, ended.stderr
+    found = figures(tmp_path)
+    reached = {name: x for name, x in found.items() if name.endswith(".reached.share")}
+    assert len(reached) == 5 and set(reached.values()) == {1.0}, reached
+    calls = {name: x for name, x in found.items() if name.startswith("calls.") and name.endswith(".count")}
+    assert sum(x for name, x in calls.items() if name.endswith(".calls.count")) > 200
+    assert sum(x for name, x in calls.items() if name.endswith(".lost.count")) == 0, calls
+    assert found["servers.seen_twice.count"] == 0
+    assert found["discovery.whole.count"] >= 24  # the history was gone: each agent needed the whole list
+
+
+@pytest.mark.parametrize("text, told", [
+    ("name = 'x'\nseconds = 'long'", "seconds: Expected `float`, got `str`"),
+    ("name = 'x'\n[agents]\nreel = 2", "agents: Object contains unknown field `reel`"),
+    ("name = 'x'\n[agents]\nhollow = 0\nreal = 0", "agents: there are none"),
+    ("name = 'x'\n[[events]]\nkind = 'quake'\nat_s = 1.0", "events[0].kind: Invalid value 'quake'"),
+    ("name = 'x'\n[[events]]\nkind = 'drip'\nat_s = 99.0", "events[0].at_s: 99.0 is behind the end"),
+    ("name = 'x'\n[[events]]\nkind = 'outage'\nat_s = 9.0\nfor_s = 4.0", "events[0].for_s"),
+    ("name = 'x'\n[[events]]\nkind = 'change'\nat_s = 1.0\ncount = 999", "events[0].count: 999 of 200"),
+    ("name = ", "Invalid value"), ("", "missing required field `name`"),
+])
+def test_a_file_that_cannot_be_used_is_one_line_with_key_and_fault(tmp_path: Path, text: str, told: str) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(text)
+    ended = fleet("check", path)
+    assert ended.returncode == 2 and not ended.stdout
+    (line,) = ended.stderr.splitlines()
+    assert told in line and str(path) in line
+
+
+def test_a_missing_file_and_a_bad_override_are_one_line(tmp_path: Path) -> None:
+    for arguments in ([tmp_path / "none.toml"], [SMALL, "--set", "agents.real=many"], [SMALL, "--set", "seed"]):
+        ended = fleet("run", *arguments)
+        assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1, ended.stderr
+
+
+def test_an_interrupt_ends_it_and_leaves_no_process_behind(tmp_path: Path) -> None:
+    with subprocess.Popen([sys.executable, "-m", "fleet", "run", str(SMALL), "--out", str(tmp_path)], cwd=ROOT,
+                          stderr=subprocess.PIPE, text=True) as running:
+        assert running.stderr is not None
+        while "change@0.5" not in (line := running.stderr.readline()):
+            assert line, "it ended by itself"
+        left = psutil.Process(running.pid).children(recursive=True)
+        assert len(left) >= 7  # map servers, discovery, two workers, keeper, agent, client
+        running.send_signal(signal.SIGINT)
+        assert running.wait(20) == 130
+        assert running.stderr.read().splitlines()[-1] == "fleet: interrupted"
+    _, alive = psutil.wait_procs(left, timeout=10)
+    assert not alive and not list(tmp_path.iterdir())
+
+
+def test_a_runner_that_is_killed_leaves_no_process_behind(tmp_path: Path) -> None:
+    with subprocess.Popen([sys.executable, "-m", "fleet", "run", str(SMALL), "--out", str(tmp_path)], cwd=ROOT,
+                          stderr=subprocess.PIPE, text=True) as running:
+        assert running.stderr is not None
+        while "change@0.5" not in (line := running.stderr.readline()):
+            assert line, "it ended by itself"
+        left = psutil.Process(running.pid).children(recursive=True)
+        running.kill()
+    _, alive = psutil.wait_procs(left, timeout=10)
+    assert not alive
