--- a/fleet/__main__.py
+++ b/fleet/__main__.py
@@ -34,8 +34,8 @@
 def check(file: Path, overrides: tuple[str, ...]) -> None:
     """Say whether an experiment file can be used."""
     e = _read(file, overrides)
-    click.echo(f"{file}: {e.name}: {e.servers.listed} servers, {e.agents.hollow} hollow and {e.agents.real} real "
-               f"agents, {len(e.events)} events in {e.seconds:g} s")
+    click.echo(f"{file}: {e.name}: {e.servers.listed} servers, {e.agents.hollow} hollow and {e.agents.real} "
+               f"real agents, {len(e.events)} events in {e.seconds:g} s")
 
 
 @main.command()
@@ -80,7 +80,7 @@
         _end(f"sizes: {e}", 2)
 
     async def play(seed: int) -> dict[str, float]:
-        found = {}
+        found: dict[str, float] = {}
         for servers in counts:
             role = await Role.begin("slopes")
             try:
@@ -91,7 +91,8 @@
         return found
 
     def whole() -> None:
-        made = results("slopes", seed, {"sizes": counts}, [asyncio.run(play(seed + n)) for n in range(plays)], [])
+        found = [asyncio.run(play(seed + n)) for n in range(plays)]
+        made = results("slopes", seed, {"sizes": counts}, found, [])
         path = write(made, out)
         click.echo(by_size(made, counts))
         click.echo(f"  written to {path}")
--- a/fleet/experiment.py
+++ b/fleet/experiment.py
@@ -8,8 +8,7 @@
 import msgspec
 from msgspec import Meta
 
-PROCESSES_MOST = 200
-WORKERS_MOST = 64
+WORKERS_MOST = 64  # processes of hollow agents; with at most 32 real ones and the rest well under 200
 
 Share = Annotated[float, Meta(gt=0, le=1)]
 Seconds = Annotated[float, Meta(ge=0, le=3600)]
@@ -24,7 +23,7 @@
     """A table of the file. What is not known is refused: a misspelt key must not pass for its default."""
 
 
-class Servers(Table):
+class Servers(Table, frozen=True):
     """The map servers that discovery lists, and the plain ones that answer for them."""
 
     listed: Annotated[int, Meta(ge=1, le=20_000)] = 200
@@ -35,7 +34,7 @@
     work_ms: Annotated[float, Meta(ge=0, le=10_000)] = 0.0
 
 
-class Agents(Table):
+class Agents(Table, frozen=True):
     """The agents."""
 
     hollow: Count = 40  # whole lists and decision state, no application
@@ -45,14 +44,14 @@
     siblings: Count = 0  # how many agents each is told that there are; 0: as many as servers listed
 
 
-class DiscoveryTable(Table):
+class DiscoveryTable(Table, frozen=True):
     """The stand-in for discovery."""
 
     mode: Literal["ask", "push"] = "ask"
     history: Annotated[int, Meta(ge=0, le=1_000_000)] = 1024  # changes that it can tell one by one
 
 
-class Calls(Table):
+class Calls(Table, frozen=True):
     """Open-loop arrivals, through each real agent and, in the same run, sent directly."""
 
     rate: Annotated[float, Meta(gt=0, le=1000)] = 70.0  # a second for each real agent
@@ -62,13 +61,13 @@
     body_bytes: Annotated[int, Meta(ge=0, le=65_536)] = 0
 
 
-class Event(Table, tag_field="kind"):
+class Event(Table, tag_field="kind", frozen=True):
     """Something that happens, `at_s` after the measured time began."""
 
     at_s: Seconds
 
 
-class Change(Event, tag="change"):
+class Change(Event, tag="change", frozen=True):
     """Servers change their phase, in one revision. SERVING: those that did not serve come back restarted."""
 
     phase: Literal["DRAINING", "DELETED", "SERVING"] = "DRAINING"
@@ -77,20 +76,20 @@
     replaced: bool = False  # those that come back have new ids
 
 
-class Drip(Event, tag="drip"):
+class Drip(Event, tag="drip", frozen=True):
     """From now on single changes at an even rate; 0 ends it."""
 
     per_s: Annotated[float, Meta(ge=0, le=100)] = 1.0
 
 
-class Restart(Event, tag="restart"):
+class Restart(Event, tag="restart", frozen=True):
     """A share of the agents ends at once and begins anew with the list that it had."""
 
     share: Share = 0.1
     real: bool = False  # of the real ones too
 
 
-class Outage(Event, tag="outage"):
+class Outage(Event, tag="outage", frozen=True):
     """Discovery is down, and comes back with its history or without."""
 
     for_s: Annotated[float, Meta(gt=0, le=3600)] = 5.0
@@ -101,7 +100,7 @@
 AnyEvent = Change | Drip | Restart | Outage
 
 
-class Experiment(Table):
+class Experiment(Table, frozen=True):
     """One file."""
 
     name: Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]*$", max_length=60)]
@@ -167,7 +166,8 @@
     busy_until = 0.0
     for i, event in enumerate(e.events):
         if event.at_s > e.seconds:
-            raise ExperimentError(f"{path}: events[{i}].at_s: {event.at_s} is behind the end, seconds = {e.seconds}")
+            raise ExperimentError(
+                f"{path}: events[{i}].at_s: {event.at_s} is behind the end, seconds = {e.seconds}")
         if i and event.at_s < e.events[i - 1].at_s:
             raise ExperimentError(f"{path}: events[{i}].at_s: events are to be in order of time")
         if isinstance(event, Change) and event.where == "any" and event.count > e.servers.listed:
--- a/fleet/hollow.py
+++ b/fleet/hollow.py
@@ -1,8 +1,8 @@
 """Hollow agents, many in a process: list, watch and decision state of real ones, without an application.
 
 Each is the agent's own Agent with a Balancer, a Discovery, a ListingParser and Backends of its own; only the
-application's side is never opened. `shared` lets those of one process share the entries of equal lists, which no
-two real agents do: figures of memory and of taking in a list are then not an agent's.
+application's side is never opened. `shared` lets those of one process share the entries of equal lists, which
+no two real agents do: figures of memory and of taking in a list are then not an agent's.
 """
 from __future__ import annotations
 
@@ -26,6 +26,7 @@
 from .role import run, serve, usage
 
 STARTS_AT_ONCE = 32  # then others have a turn
+CONNECTIONS = 512  # that an agent may have to map servers; a hollow one opens none
 
 
 class SharedParser(ListingParser):
@@ -46,9 +47,9 @@
 class NotedDiscovery(Discovery):
     """Notes when each list had been taken in, by the module too."""
 
-    def __init__(self, *arguments: Any) -> None:
+    def __init__(self, taken: list[tuple[int, int]], *arguments: Any) -> None:
         super().__init__(*arguments)
-        self.taken: list[tuple[int, int]] = []  # revision, monotonic ns
+        self._taken = taken  # revision, monotonic ns
         self.broken = 0  # calls that failed
         self._closed = False
 
@@ -58,7 +59,7 @@
             if listing is None:
                 self.broken += 1
             else:
-                self.taken.append((listing.revision, time.monotonic_ns()))
+                self._taken.append((listing.revision, time.monotonic_ns()))
 
         if not self._closed:  # the timers of an agent that has ended still fire
             super().watch(noted)
@@ -70,25 +71,27 @@
 
 
 class Hollow:
-    """One hollow agent; ends and begins anew as a process would, with the list that it was configured with."""
+    """One hollow agent; ends and begins anew as a process would, with the list it was configured with."""
 
     def __init__(self, config: Config, clock: Clock, number: int) -> None:
         self._config, self._clock, self.number = config, clock, number
         self._lives = 0
+        self.taken: list[tuple[int, int]] = []  # over all its lives
         self.discovery: NotedDiscovery | None = None
 
     def start(self) -> None:
         settings = replace(self._config.settings, me=self.number)
         seed = self._config.seed + 7919 * self.number + self._lives
         self._lives += 1
-        hand = settings.lists_at_hand
+        config, hand = self._config, settings.lists_at_hand
         self.discovery = NotedDiscovery(
-            self._config.discovery, self._config.parser, self._config.known.revision,
-            self._config.connect_timeout_us / 1e6, HAND_WAIT_MS if hand else WAIT_MS, None if hand else Random(seed))
-        pool = Pool(self._clock, self._config.connect_timeout_us, self._config.conn_idle_us, 512)
-        agent = Agent(Balancer(settings, seed), self._clock, Backends(self._clock, settings.report_fields, pool),
-                      self.discovery)
-        agent.start(self._config.known)
+            self.taken, config.discovery, config.parser, config.known.revision,
+            config.connect_timeout_us / 1e6, HAND_WAIT_MS if hand else WAIT_MS,
+            None if hand else Random(seed))
+        pool = Pool(self._clock, config.connect_timeout_us, config.conn_idle_us, CONNECTIONS)
+        backends = Backends(self._clock, settings.report_fields, pool)
+        agent = Agent(Balancer(settings, seed), self._clock, backends, self.discovery)
+        agent.start(config.known)
 
     def end(self) -> None:
         if self.discovery is not None:
@@ -97,11 +100,7 @@
 
     def had(self, revision: int, since_ns: int) -> int:
         """When it had that revision or a later one, `since_ns` at the earliest; 0: it has not."""
-        if self.discovery is None:
-            return 0
-        taken = self.discovery.taken
-        # What it had before counts at once, unless revisions have begun anew since.
-        return next((at for r, at in taken if r >= revision and at >= since_ns), 0)
+        return next((at for r, at in self.taken if r >= revision and at >= since_ns), 0)
 
 
 class Worker:
@@ -143,14 +142,15 @@
 
     async def counts(self) -> dict[str, Any]:
         alive = [a.discovery for a in self._agents if a.discovery is not None]
-        return {"agents": len(alive), "lists": sum(len(d.taken) for d in alive),
+        return {"agents": len(alive), "lists": sum(len(a.taken) for a in self._agents),
                 "broken": sum(d.broken for d in alive), **usage()}
 
 
 async def main() -> None:
     logging.basicConfig(level=logging.ERROR)  # failed calls are counted
     worker = Worker()
-    await serve({"start": worker.start, "had": worker.had, "restart": worker.restart, "counts": worker.counts})
+    await serve({"start": worker.start, "had": worker.had, "restart": worker.restart,
+                 "counts": worker.counts})
 
 
 if __name__ == "__main__":
--- a/fleet/play.py
+++ b/fleet/play.py
@@ -13,7 +13,7 @@
 from hdrh.histogram import HdrHistogram
 
 from .catalog import generate
-from .experiment import PROCESSES_MOST, Change, Drip, Event, Experiment, Outage, Restart
+from .experiment import Change, Drip, Event, Experiment, Outage, Restart
 from .process import Role
 from .settings import METHOD, REQUEST_CLASS, config
 
@@ -90,10 +90,11 @@
     async def _whole(self) -> None:
         e = self._e
         servers, self._standin = await self._role("mapserver"), await self._role("standin")
-        ports = (await servers.call("start", ports=e.servers.sockets, work_ms=e.servers.work_ms))["ports"]
-        shape = {"servers": e.servers.listed, "seed": self._seed, "regions": e.servers.regions,
-                 "zones_per_region": e.servers.zones_per_region, "racks_per_zone": e.servers.racks_per_zone,
-                 "ports": ports}
+        begun = await servers.call("start", ports=e.servers.sockets, work_ms=e.servers.work_ms)
+        ports = begun["ports"]
+        s = e.servers
+        shape = {"servers": s.listed, "seed": self._seed, "regions": s.regions,
+                 "zones_per_region": s.zones_per_region, "racks_per_zone": s.racks_per_zone, "ports": ports}
         begun = await self._standin.call("start", **shape, history=e.discovery.history)
         self._revision = self._first_revision = begun["revision"]
         self._figures["list.size.bytes"] = begun["list_bytes"]
@@ -109,7 +110,7 @@
         if not e.agents.hollow:
             return
         cores = psutil.cpu_count() or 1
-        count = min(e.agents.workers or max(1, cores - 2), e.agents.hollow, PROCESSES_MOST - 4 - e.agents.real)
+        count = min(e.agents.workers or max(1, cores - 2), e.agents.hollow)
         self._say(f"starting {e.agents.hollow} hollow agents in {count} processes")
         for i in range(count):
             numbers = list(range(i, e.agents.hollow, count))
@@ -131,11 +132,12 @@
         configs = [config(e, e.agents.hollow + i, port, known) for i in range(e.agents.real)]
         begun = await self._keeper.call("start", configs=configs)
         self._figures["real.ready.s"] = max(begun["ready_s"])
+        agents = [{"name": c["name"], "port": p} for c, p in zip(configs, begun["ports"], strict=True)]
         await self._caller.call(
-            "start", agents=[{"name": c["name"], "port": p} for c, p in zip(configs, begun["ports"], strict=True)],
-            direct=[{"port": p} for p in ports], rate=e.calls.rate, direct_rate=e.calls.direct_rate,
-            arrivals=e.calls.arrivals, seed=self._seed, request_class=REQUEST_CLASS, method=METHOD,
-            timeout_ms=e.calls.timeout_ms, body_bytes=e.calls.body_bytes)
+            "start", agents=agents, direct=[{"port": p} for p in ports], rate=e.calls.rate,
+            direct_rate=e.calls.direct_rate, arrivals=e.calls.arrivals, seed=self._seed,
+            request_class=REQUEST_CLASS, method=METHOD, timeout_ms=e.calls.timeout_ms,
+            body_bytes=e.calls.body_bytes)
         await self._phase("warm")
 
     async def _phase(self, name: str) -> None:
@@ -184,8 +186,8 @@
             await asyncio.sleep(min(left, 2.0))
             if left > 2.0:
                 c = await self._standin.call("counts")
-                self._say(f"{time.monotonic() - self._began:6.1f} s  revision {self._revision}, {c['waiting']} wait, "
-                          f"{c['calls']} calls, {c['bytes_out'] / 1e6:.1f} MB told")
+                self._say(f"{time.monotonic() - self._began:6.1f} s  revision {self._revision}, "
+                          f"{c['waiting']} wait, {c['calls']} calls, {c['bytes_out'] / 1e6:.1f} MB told")
 
     # Events
 
@@ -286,45 +288,57 @@
         f["agent.list.kb_per_s"] = (new["bytes_out"] - old["bytes_out"]) / 1e3 / seconds / agents
         f["agent.list.calls_per_s"] = (new["calls"] - old["calls"]) / seconds / agents
         if e.agents.hollow:
-            used = sum(b["cpu_s"] - a["cpu_s"] for a, b in zip(before["hollow"], after["hollow"], strict=True))
+            used = _used(before["hollow"], after["hollow"])
             f["hollow.cpu.percent"] = 100 * used / seconds / e.agents.hollow
             f["hollow.calls_failed.count"] = sum(b["broken"] for b in after["hollow"])
         if e.agents.real:
-            used = sum(b["cpu_s"] - a["cpu_s"] for a, b in zip(before["real"], after["real"], strict=True))
-            f["real.cpu.percent"] = 100 * used / seconds / e.agents.real
+            f["real.cpu.percent"] = 100 * _used(before["real"], after["real"]) / seconds / e.agents.real
             f["real.memory.mb"] = max(a["rss_mb"] for a in after["real"])
             f["real.alive.count"] = sum(a["alive"] for a in after["real"])
 
     def _calls(self, results: dict[str, Any]) -> None:
-        """Added time is the difference of the two paths at the same percentile, in the same run."""
+        """Added time is the difference of the two paths at the same percentile, in the same run.
+
+        From when it was written: what the client adds by being late is on both paths, and not the agent's.
+        """
+        f = self._figures
+        phases = {name: told for name, told in results["phases"].items() if name != "warm"}
+        whole: dict[str, HdrHistogram] = {}
+        for path in ("through", "direct"):
+            for kind in ("calls", "served", "refused", "failed", "lost"):
+                for name, told in phases.items():
+                    f[f"calls.{name}.{path}.{kind}.count"] = told[path][kind]
+                f[f"calls.all.{path}.{kind}.count"] = sum(told[path][kind] for told in phases.values())
+        for name, told in phases.items():
+            found = {f"{path}.{what}": HdrHistogram.decode(told[path][what])
+                     for path in ("through", "direct") for what in ("from_due", "from_written", "lateness")}
+            for key, histogram in found.items():
+                whole.setdefault(key, HdrHistogram(1, 60_000_000, 3)).add(histogram)
+            self._latencies(name, found)
+        self._latencies("all", whole)
+
+    def _latencies(self, phase: str, found: dict[str, HdrHistogram]) -> None:
         f = self._figures
-        for phase, paths in results["phases"].items():
-            if phase == "warm":
-                continue
-            found: dict[str, dict[str, float]] = {}
-            for path in ("through", "direct"):
-                told = paths[path]
-                for kind in ("calls", "served", "refused", "failed", "lost"):
-                    f[f"calls.{phase}.{path}.{kind}.count"] = told[kind]
-                for what in ("from_due", "from_written", "lateness"):
-                    found[f"{path}.{what}"] = _percentiles(told[what])
-            for key, values in found.items():
-                for name, us in values.items():
-                    f[f"calls.{phase}.{key}.{name}.us"] = us
-            # From when it was written: what the client adds by being late is on both paths, and not the agent's.
-            for name in PERCENTILES:
-                f[f"calls.{phase}.added.{name}.us"] = (
-                    found["through.from_written"][name] - found["direct.from_written"][name])
-
-
-class Back(Event, tag="back"):
+        told = {key: _percentiles(histogram) for key, histogram in found.items()}
+        for key, values in told.items():
+            for name, us in values.items():
+                f[f"calls.{phase}.{key}.{name}.us"] = us
+        for name in PERCENTILES:
+            f[f"calls.{phase}.added.{name}.us"] = (
+                told["through.from_written"][name] - told["direct.from_written"][name])
+
+
+class Back(Event, tag="back", frozen=True):
     """Discovery returns. Not in the file: it follows from the outage."""
 
     outage: Outage
 
 
-def _percentiles(encoded: str) -> dict[str, float]:
-    histogram = HdrHistogram.decode(encoded)
+def _used(before: list[dict[str, float]], after: list[dict[str, float]]) -> float:
+    return sum(b["cpu_s"] - a["cpu_s"] for a, b in zip(before, after, strict=True))
+
+
+def _percentiles(histogram: HdrHistogram) -> dict[str, float]:
     if not histogram.get_total_count():
         return dict.fromkeys(PERCENTILES, 0.0)
     return {name: float(histogram.get_value_at_percentile(p)) for name, p in PERCENTILES.items()}
--- a/fleet/process.py
+++ b/fleet/process.py
@@ -55,7 +55,7 @@
         """Of it and its children; shared pages count once for each."""
         with contextlib.suppress(psutil.NoSuchProcess):
             p = psutil.Process(self._process.pid)
-            return sum(q.memory_info().rss for q in (p, *p.children(recursive=True))) / 1e6
+            return float(sum(q.memory_info().rss for q in (p, *p.children(recursive=True)))) / 1e6
         return 0.0
 
     async def end(self) -> None:
--- a/fleet/results.py
+++ b/fleet/results.py
@@ -6,6 +6,7 @@
 import statistics
 import subprocess
 import time
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
@@ -43,11 +44,11 @@
     """The figures of all plays of an experiment, each with its spread."""
     notes = []
     if e.agents.shared and e.agents.hollow:
-        notes.append("hollow agents of a process share the entries of equal lists: their memory, and the time to take "
-                     "in a whole list, are not an agent's")
+        notes.append("hollow agents of a process share the entries of equal lists: their memory, and the "
+                     "time to take in a whole list, are not an agent's")
     if e.agents.hollow > (psutil.cpu_count() or 1):
-        notes.append("hollow agents share the cores of this machine: the time to force of a change holds the wait "
-                     "for a processor behind the others")
+        notes.append("hollow agents share the cores of this machine: the time to force of a change holds the "
+                     "wait for a processor behind the others")
     return results(e.name, e.seed, msgspec.to_builtins(e), plays, notes)
 
 
@@ -89,22 +90,54 @@
 
 
 def table(results: Results) -> str:
-    """The figures that a person looks at first, a row each: median, and least to most of several plays."""
+    """The figures that a person looks at first: median of the plays, and least to most of several."""
+    f = results.figures
     rows = [f"{results.name}: version {results.version}, seed {results.seed}, {results.cores} cores"]
-    several = any(len(f.plays) > 1 for f in results.figures.values())
-    for key, f in results.figures.items():
-        if _looked_at(key):
-            spread = f"   {_short(f.least)} to {_short(f.most)}" if several else ""
-            rows.append(f"  {key:<44} {_short(f.median):>10}{spread}")
+    forced = _labels(f, "force.", ".reached.share")
+    if forced:
+        rows.append(_row("time to force, ms", ("agents", "reached", *_LISTS)))
+    for label in forced:
+        columns = ("agents.count", "reached.share", *(f"{c}.ms" for c in _LISTS))
+        rows.append(_row(label, [_cell(f, f"force.{label}.{c}") for c in columns]))
+    phases = _labels(f, "calls.", ".added.p50.us")
+    if phases:
+        rows.append(_row("calls, us from written", _CALLS))
+    for phase in phases:
+        rows.append(_row(phase, [_cell(f, f"calls.{phase}.{c}") for c in _CALLS.values()]))
+    several = any(len(figure.plays) > 1 for figure in f.values())
+    for key, figure in f.items():
+        if not key.startswith(("calls.", "force.")):
+            spread = f"   {_short(figure.least)} to {_short(figure.most)}" if several else ""
+            rows.append(f"  {key:<40}{_short(figure.median):>12}{spread}")
     return "\n".join([*rows, *(f"  ({note})" for note in results.notes)])
 
 
+_LISTS = ("p50", "p90", "p99", "max")
+_CALLS = {"calls": "through.calls.count", "lost": "through.lost.count",
+          "direct p50": "direct.from_written.p50.us", "p99": "direct.from_written.p99.us",
+          "through p50": "through.from_written.p50.us", "p99 ": "through.from_written.p99.us",
+          "added p50": "added.p50.us", "p99  ": "added.p99.us", "late p99": "through.lateness.p99.us"}
+
+
+def _cell(figures: dict[str, Figure], key: str) -> str:
+    return _short(figures[key].median) if key in figures else "-"
+
+
+def _labels(figures: dict[str, Figure], before: str, behind: str) -> list[str]:
+    return [key[len(before):-len(behind)] for key in figures
+            if key.startswith(before) and key.endswith(behind)]
+
+
+def _row(head: str, cells: Iterable[str]) -> str:
+    return f"  {head:<24}" + "".join(f"{cell:>12}" for cell in cells)
+
+
 def by_size(results: Results, sizes: list[int]) -> str:
     """Figures named ``size.figure``: a row each, a column a size, then the slope for each thousand more."""
     names = list(dict.fromkeys(key.partition(".")[2] for key in results.figures))
-    rows = [f"{results.name}: version {results.version}, seed {results.seed}, {results.cores} cores; median, and "
-            "the widest spread of its plays as a share of it",
-            "  ".join([f"{'servers':<18}", *(f"{n:>9}" for n in sizes), f"{'per 1000':>9}", f"{'spread':>6}"])]
+    rows = [f"{results.name}: version {results.version}, seed {results.seed}, {results.cores} cores; median, "
+            "slope for each thousand servers, and the widest spread of the plays as a share of their median",
+            "  ".join([f"{'servers':<18}", *(f"{n:>9}" for n in sizes), f"{'slope':>9}", f"{'spread':>6}"])]
     for name in names:
         figures = [results.figures[f"{n}.{name}"] for n in sizes]
         middle = [f.median for f in figures]
@@ -115,13 +148,5 @@
     return "\n".join(rows)
 
 
-def _looked_at(key: str) -> bool:
-    if key.startswith("calls."):
-        at_percentile = key.endswith((".p50.us", ".p99.us")) and (".from_written." in key or ".added." in key
-                                                                   or ".lateness." in key)
-        return at_percentile or key.endswith((".through.calls.count", ".through.lost.count"))
-    return not key.endswith((".p90.ms", ".p999.ms"))
-
-
 def _short(x: float) -> str:
     return f"{x:.0f}" if abs(x) >= 1000 or x == int(x) else f"{x:.3g}"
--- a/fleet/role.py
+++ b/fleet/role.py
@@ -1,12 +1,13 @@
 """One process of the fleet: takes commands on standard input, one JSON object a line, and ends with it.
 
 A command is ``{"do": name, ...arguments}``; its answer is ``{"ok": {...}}`` or ``{"error": "one line"}``, one
-line each, in order. That the end of input ends the process leaves nothing behind whatever becomes of the runner.
+line each, in order. As the end of input ends the process, none is left behind whatever becomes of the runner.
 """
 from __future__ import annotations
 
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
@@ -52,8 +53,6 @@
 
 def run(main: Callable[[], Awaitable[None]]) -> None:
     """Run a role to its end. An interrupt of the terminal is the runner's affair, which ends the input."""
-    import signal
-
     signal.signal(signal.SIGINT, signal.SIG_IGN)
 
     async def whole() -> None:
--- a/fleet/settings.py
+++ b/fleet/settings.py
@@ -8,10 +8,10 @@
 REQUEST_CLASS, METHOD = "read", "GET"
 
 
-def config(e: Experiment, number: int, discovery: int, known: dict[str, Any], listen: int = 0) -> dict[str, Any]:
-    """The configuration of one agent; `discovery` and `listen` are ports on loopback, `known` the list it has."""
+def config(e: Experiment, number: int, discovery: int, known: dict[str, Any]) -> dict[str, Any]:
+    """The configuration of one agent; `discovery` is a port on loopback, `known` the list that it has."""
     return {
-        "name": f"n{number}", "listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}",
+        "name": f"n{number}", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}",
         "seed": f"{e.seed * 1_000_003 + number:x}",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
         "settings": {
--- a/fleet/slopes.py
+++ b/fleet/slopes.py
@@ -14,7 +14,9 @@
 from random import Random
 from typing import Any
 
-from brasshead.interface import Action, AttemptEnded, BackendsChanged, Event, ListKind, Outcome, RequestArrived, Send
+from brasshead.interface import (
+    Action, AttemptEnded, BackendsChanged, Event, ListKind, Outcome, RequestArrived, Send,
+)
 from brasshead.logic import Balancer
 from lilacsill.backends import Backends
 from lilacsill.clock import Clock
@@ -50,9 +52,10 @@
         empty = {"revision": 0, "complete": True, "members": []}
         clock = Clock()
         self._config = from_doc(config(self._e, 0, 9, empty), {}, clock)
-        self._config = replace(self._config, settings=replace(self._config.settings, siblings=max(1, servers)))
-        self._backends = Backends(clock, self._config.settings.report_fields, Pool(clock, 250_000, 10_000_000, 512))
-        self._balancer = Balancer(self._config.settings, seed)
+        settings = replace(self._config.settings, siblings=max(1, servers))
+        pool = Pool(clock, self._config.connect_timeout_us, self._config.conn_idle_us, 512)
+        self._backends = Backends(clock, settings.report_fields, pool)
+        self._balancer = Balancer(settings, seed)
         self._now = 1_000_000
         self._told(self._config.known, ListKind.CACHED)
 
--- a/tests/test_small_fleet.py
+++ b/tests/test_small_fleet.py
@@ -1,4 +1,4 @@
-"""The small fleet as a person runs it: it counts right, says what is wrong in one line, and leaves nothing behind."""
+"""The small fleet as a person runs it: it counts right, tells a fault in one line, and leaves nothing."""
 from __future__ import annotations
 
 import json
@@ -48,7 +48,8 @@
     ("name = 'x'\n[[events]]\nkind = 'change'\nat_s = 1.0\ncount = 999", "events[0].count: 999 of 200"),
     ("name = ", "Invalid value"), ("", "missing required field `name`"),
 ])
-def test_a_file_that_cannot_be_used_is_one_line_with_key_and_fault(tmp_path: Path, text: str, told: str) -> None:
+def test_a_file_that_cannot_be_used_is_one_line_with_key_and_fault(
+        tmp_path: Path, text: str, told: str) -> None:
     path = tmp_path / "bad.toml"
     path.write_text(text)
     ended = fleet("check", path)
@@ -58,32 +59,36 @@
 
 
 def test_a_missing_file_and_a_bad_override_are_one_line(tmp_path: Path) -> None:
-    for arguments in ([tmp_path / "none.toml"], [SMALL, "--set", "agents.real=many"], [SMALL, "--set", "seed"]):
+    none = tmp_path / "none.toml"
+    for arguments in ([none], [SMALL, "--set", "agents.real=many"], [SMALL, "--set", "seed"]):
         ended = fleet("run", *arguments)
         assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1, ended.stderr
 
 
+def running_fleet(out: Path) -> subprocess.Popen[str]:
+    """One whose first event has come."""
+    command = [sys.executable, "-m", "fleet", "run", str(SMALL), "--out", str(out)]
+    running = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True)
+    assert running.stderr is not None
+    while "change@0.5" not in (line := running.stderr.readline()):
+        assert line, "it ended by itself"
+    return running
+
+
 def test_an_interrupt_ends_it_and_leaves_no_process_behind(tmp_path: Path) -> None:
-    with subprocess.Popen([sys.executable, "-m", "fleet", "run", str(SMALL), "--out", str(tmp_path)], cwd=ROOT,
-                          stderr=subprocess.PIPE, text=True) as running:
-        assert running.stderr is not None
-        while "change@0.5" not in (line := running.stderr.readline()):
-            assert line, "it ended by itself"
+    with running_fleet(tmp_path) as running:
         left = psutil.Process(running.pid).children(recursive=True)
         assert len(left) >= 7  # map servers, discovery, two workers, keeper, agent, client
         running.send_signal(signal.SIGINT)
         assert running.wait(20) == 130
+        assert running.stderr is not None
         assert running.stderr.read().splitlines()[-1] == "fleet: interrupted"
     _, alive = psutil.wait_procs(left, timeout=10)
     assert not alive and not list(tmp_path.iterdir())
 
 
 def test_a_runner_that_is_killed_leaves_no_process_behind(tmp_path: Path) -> None:
-    with subprocess.Popen([sys.executable, "-m", "fleet", "run", str(SMALL), "--out", str(tmp_path)], cwd=ROOT,
-                          stderr=subprocess.PIPE, text=True) as running:
-        assert running.stderr is not None
-        while "change@0.5" not in (line := running.stderr.readline()):
-            assert line, "it ended by itself"
+    with running_fleet(tmp_path) as running:
         left = psutil.Process(running.pid).children(recursive=True)
         running.kill()
     _, alive = psutil.wait_procs(left, timeout=10)
