Add a stand-in for discovery on loopback, with changes, outages and single changes in a row

An outage refuses or is silent; at its end the connections are reset and the history is kept, gone or numbered anew.

--- /dev/null
+++ b/tests/test_standin.py
@@ -0,0 +1,268 @@
+"""The stand-in for discovery on loopback, watched by the agent's own client of it."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from brasshead.interface import State
+
+from fleet import standin as standin_module
+from fleet.standin import SEND_BUFFER, Standin
+from lilacsill import discovery as discovery_module
+from lilacsill.clock import Clock
+from lilacsill.discovery import Address, Discovery, Listing, ListingParser, Member
+
+LOCALITIES = ("r0-z0", "r0-z1", "r1-z0", "r1-z1")
+CLOCK = Clock()  # one, so that the same start is the same time to all
+
+
+@contextlib.asynccontextmanager
+async def standing(servers: int = 40, history: int = 100) -> AsyncIterator[tuple[Standin, int]]:
+    standin = Standin()
+    try:
+        async with asyncio.timeout(60):  # a hang fails the test; nothing is timed by this
+            started = await standin.start(servers, 7, 2, 2, 2, [9001, 9002], history)
+            yield standin, started["port"]
+    finally:
+        await standin.close()
+
+
+class Agent:
+    """What an agent knows of the list."""
+
+    def __init__(self, port: int, wait_ms: int = 20_000) -> None:
+        parser = ListingParser(CLOCK, LOCALITIES, ("fast-1c", "mid-1c", "slow-1c"))
+        self.discovery = Discovery(Address("127.0.0.1", port), parser, 0, 9.0, wait_ms)
+        self.known: dict[object, Member] = {}
+        self.told = asyncio.Queue[Listing | None]()
+
+    def watch(self) -> None:
+        self.discovery.watch(self._tell)
+
+    def _tell(self, listing: Listing | None) -> None:
+        if listing is not None:
+            if listing.complete:
+                self.known.clear()
+            self.known.update((m.backend.id, m) for m in listing.members)
+            self.known = {i: m for i, m in self.known.items() if m.backend.state is not State.GONE}
+        self.told.put_nowait(listing)
+
+    async def knows(self, revision: int) -> Listing:
+        """Watch, again where it breaks, until this revision has been told."""
+        self.watch()
+        while (listing := await self.told.get()) is None or listing.revision < revision:
+            if listing is None:
+                self.watch()
+        return listing
+
+
+async def listed(port: int) -> dict[object, Member]:
+    """The whole list, to one who asks for the first time."""
+    agent = Agent(port)
+    agent.discovery.fetch(agent._tell)
+    assert (listing := await agent.told.get()) is not None and listing.complete
+    return agent.known
+
+
+async def until(standin: Standin, **figures: int) -> None:
+    while (counts := await standin.count()) | figures != counts:
+        await asyncio.sleep(0)
+
+
+def test_a_change_reaches_the_watches_that_wait() -> None:
+    async def run() -> None:
+        async with standing() as (standin, port):
+            agents = [Agent(port) for _ in range(20)]
+            for agent in agents:
+                assert (await agent.knows(1)).complete
+            await until(standin, waiting=20)
+            changes = [await standin.change("DRAINING", share=0.25, seed=3),
+                       await standin.change("DELETED", where="rack", seed=3),
+                       await standin.change("SERVING", replaced=True)]
+            assert changes[0]["changed"] == 10 and changes[1]["revision"] == 3
+            for agent in agents:
+                assert not (await agent.knows(4)).complete
+                assert agent.known == await listed(port)
+            assert len(agents[0].known) == 40
+            counts = await standin.count()
+            assert counts["whole"] == 40 and counts["connections"] == 40 and counts["waiting_most"] == 20
+            assert 0 < counts["most_calls_in_100ms"] <= counts["calls"]
+            made = (await standin.made())["changes"]
+            assert [(c["revision"], c["at_ns"], c["changed"]) for c in changes] == made
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", ["refused", "silent"])
+@pytest.mark.parametrize("history", ["kept", "gone", "renumbered"])
+def test_after_an_outage_all_that_changed_in_it_is_known(kind: Any, history: Any) -> None:
+    async def run() -> None:
+        async with standing() as (standin, port):
+            agent = Agent(port)
+            await agent.knows(1)
+            await standin.change("DRAINING", count=3, seed=1)
+            await standin.change("DELETED", count=3, seed=2)
+            await agent.knows(3)
+            await until(standin, waiting=1)
+            await standin.begin_outage(kind)
+            await standin.change("DELETED", where="zone", seed=3)
+            if kind == "refused":
+                assert await agent.told.get() is None
+                agent.watch()
+                assert await agent.told.get() is None
+            assert agent.told.empty()
+            ended = await standin.end_outage(history)
+            assert ended["revision"] == (1 if history == "renumbered" else 4)
+            if kind == "silent":
+                assert await agent.told.get() is None  # reset
+            listing = await agent.knows(ended["revision"])
+            assert listing.complete == (history != "kept")
+            assert agent.known == await listed(port)
+            assert (await standin.count())["failed"] == 1
+
+    asyncio.run(run())
+
+
+def test_a_watch_opened_in_silence_is_reset_at_its_end(monkeypatch: pytest.MonkeyPatch,
+                                                       caplog: pytest.LogCaptureFixture) -> None:
+    monkeypatch.setattr(discovery_module, "LATE_S", 0.05)
+    monkeypatch.setattr(discovery_module, "ANSWER_S", 50.0)
+
+    async def run() -> None:
+        async with standing() as (standin, port):
+            agent = Agent(port, wait_ms=20)
+            await agent.knows(1)
+            await standin.begin_outage("silent")
+            connected = asyncio.Event()
+            connection_made = discovery_module._Call.connection_made
+
+            def made(call: discovery_module._Call, transport: asyncio.BaseTransport) -> None:
+                connection_made(call, transport)
+                connected.set()
+
+            monkeypatch.setattr(discovery_module._Call, "connection_made", made)
+            await connected.wait()  # the kernel alone has taken it
+            await standin.change("DRAINING", where="region", seed=3)
+            await standin.end_outage()
+            assert await agent.told.get() is None
+            await agent.knows(2)
+            assert agent.known == await listed(port)
+
+    asyncio.run(run())
+    assert "fell silent" in caplog.text
+
+
+def test_what_fits_no_form_is_refused_and_all_is_counted() -> None:
+    async def run() -> None:
+        async with standing() as (standin, port):
+            asked: list[tuple[str, int]] = [
+                ("GET /catalog/members", 200), ("GET /catalog/members?index=1&wait=1", 200),
+                ("GET /catalog/members?wait=0&index=1", 200),
+                ("GET /catalog/members?index=9&wait=60000", 200),
+                ("GET /catalog/members?index=1&wait=60001", 400), ("GET /catalog/members?index=1", 400),
+                ("GET /catalog/members?index=-1&wait=5", 400), ("GET /catalog/members?", 400),
+                ("GET /catalog/members?index=1&index=1", 400), ("GET /catalog", 404),
+                ("POST /catalog/members", 400), ("no request at all", 400),
+            ]
+            bytes_in = bytes_out = 0
+            bodies = []
+            for line, status in asked:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                request = f"{line} HTTP/1.1\r\nHost: d\r\nContent-Length: 0\r\n\r\n".encode()
+                writer.write(request)
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(f"HTTP/1.1 {status} ".encode()), line
+                length = int(head.partition(b"Content-Length: ")[2].split()[0])
+                bodies.append(await reader.readexactly(length))
+                bytes_in, bytes_out = bytes_in + len(request), bytes_out + len(head) + length
+                if status != 200:
+                    assert await reader.read() == b""  # closed
+                writer.close()
+            assert json.loads(bodies[0]) == json.loads(bodies[3]) and json.loads(bodies[1])["members"] == []
+            counts = await standin.count()
+            expected = {"calls": 12, "whole": 2, "deltas": 0, "empty": 2, "failed": 8, "left": 0,
+                        "connections": 12, "waiting_most": 1, "bytes_in": bytes_in, "bytes_out": bytes_out}
+            assert counts | expected == counts
+
+    asyncio.run(run())
+
+
+def test_large_answers_go_out_so_many_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(standin_module, "LARGE_AT_ONCE", 2)
+
+    async def run() -> None:
+        async with standing(servers=20_000) as (standin, port):
+            agent = Agent(port)
+            await agent.knows(1)
+            await until(standin, waiting=1)
+            stalled = []
+            for n in range(5):
+                sock = socket.socket()
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SEND_BUFFER)
+                sock.setblocking(False)
+                await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+                stalled.append(await asyncio.open_connection(sock=sock, limit=1024))
+                stalled[-1][1].write(b"GET /catalog/members HTTP/1.1\r\n\r\n")
+                await until(standin, calls=n + 3)  # in this order
+            await until(standin, queued=3)
+            await standin.change("DRAINING", count=1)
+            assert len((await agent.knows(2)).members) == 1  # what is small goes past them
+            stalled.pop()[1].close()  # the last leaves
+            await until(standin, queued=2)
+            revisions = []
+            for reader, writer in stalled:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.partition(b"Content-Length: ")[2].split()[0])
+                revisions.append(json.loads(await reader.readexactly(length))["revision"])
+                writer.close()
+            assert revisions == [1, 1, 2, 2]  # what had not begun is answered with what is known by then
+            counts = await standin.count()
+            assert counts["queue_most"] == 3 and counts["left"] == 1 and counts["queued"] == 0
+
+    asyncio.run(run())
+
+
+def test_single_changes_drip_until_they_are_stopped() -> None:
+    async def run() -> None:
+        async with standing() as (standin, port):
+            agent = Agent(port)
+            await standin.drip(per_s=1000.0, seed=1)
+            told = (await agent.knows(7)).revision
+            await standin.drip(per_s=0)
+            revision = (await standin.count())["revision"]
+            if told < revision:
+                await agent.knows(revision)
+            assert agent.known == await listed(port)
+            changes = (await standin.made())["changes"]
+            assert [c[0] for c in changes] == list(range(2, revision + 1)) and {c[2] for c in changes} == {1}
+            draining = [m for m in agent.known.values() if m.backend.state is State.DRAINING]
+            assert len(draining) == (revision - 1) % 2
+
+    asyncio.run(run())
+
+
+def test_its_process_ends_with_its_input() -> None:
+    async def run() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "fleet.standin", cwd=Path(__file__).parent.parent,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
+        commands = [{"do": "begin_outage", "kind": "silent"},
+                    {"do": "start", "servers": 6, "seed": 1, "regions": 1, "zones_per_region": 1,
+                     "racks_per_zone": 1, "ports": [9001], "history": 5},
+                    {"do": "change", "phase": "GONE"}, {"do": "change", "phase": "DRAINING", "count": 2},
+                    {"do": "counts"}]
+        out, _ = await process.communicate(b"".join(json.dumps(c).encode() + b"\n" for c in commands))
+        answers = [json.loads(line) for line in out.splitlines()]
+        assert process.returncode == 0 and len(answers) == 5
+        assert "error" in answers[0] and answers[1]["ok"]["revision"] == 1 and "error" in answers[2]
+        assert answers[3]["ok"]["changed"] == 2 and answers[4]["ok"]["rss_mb"] > 0
+
+    asyncio.run(asyncio.wait_for(run(), 60))
