Let discovery's stand-in read on in silence, and check who leaves and in which order it serves

Reading was paused while an outage was silent, and no agent could tell: calls read then go unanswered either way and are counted as failed. Planted faults had passed the tests: a watch that left stayed in its slot, the large answers went out in the wrong order, a restart alone kept old bytes. Each is now caught, and a fault on the loop fails its test.

--- a/fleet/standin.py
+++ b/fleet/standin.py
@@ -87,8 +87,7 @@
         if self.held or len(requests) > 1:  # an answer to one would be taken for the other's
             self.drop()
         elif self._reader.error is not None:
-            self._host.arrived()
-            self._host.refuse(self, self._reader.error.status)
+            self._host.take(self, self._reader.error)
         elif requests:
             self._host.take(self, requests[0])
 
@@ -169,7 +168,7 @@
 
     async def begin_outage(self, kind: Outage) -> dict[str, Any]:
         """`refused`: the port is closed, and all connections are reset. `silent`: they stay, new ones come up
-        in the kernel alone, and nothing is answered; only an answer that has begun is written on."""
+        in the kernel alone, and no call is answered; only an answer that has begun is written on."""
         if self._outage is not None or self._listener is None:
             raise ValueError("no discovery to fail")
         self._outage = msgspec.convert(kind, Outage)
@@ -182,9 +181,6 @@
         self._queue.clear()
         if kind == "refused":
             await self._vanish()
-        else:
-            for watcher in self._open:
-                _mute(watcher)
         return {"at_ns": at_ns}
 
     async def end_outage(self, history: History = "kept") -> dict[str, Any]:
@@ -282,8 +278,6 @@
         self._open.add(watcher)
         if self._socket is None:
             watcher.reset()
-        elif self._outage is not None:
-            self._loop.call_soon(_mute, watcher)  # only then does its transport begin to read
 
     def left(self, watcher: Watcher) -> None:
         """Its call needs no answer; may come twice."""
@@ -303,15 +297,17 @@
 
     # Calls
 
-    def take(self, watcher: Watcher, request: Message) -> None:
-        self.arrived()
+    def take(self, watcher: Watcher, request: Message | Unreadable) -> None:
+        self._arrived()
         if self._outage is not None:
             self.counts.failed += 1
             return
         try:
+            if isinstance(request, Unreadable):
+                raise request
             watcher.index, wait_ms = _asked(request)
         except Unreadable as e:
-            return self.refuse(watcher, e.status)
+            return self._refuse(watcher, e.status)
         watcher.held, watcher.keep_alive = True, request.keep_alive
         if wait_ms and watcher.index == self._catalog.revision:
             watcher.slot = int((self._loop.time() + wait_ms / 1000) / SLOT_S)
@@ -320,7 +316,7 @@
         else:
             self._answer(watcher)
 
-    def refuse(self, watcher: Watcher, status: int) -> None:
+    def _refuse(self, watcher: Watcher, status: int) -> None:
         self.counts.failed += 1
         message = answer(status, [("Connection", "close")], b"")
         self.counts.bytes_out += len(message)
@@ -328,7 +324,7 @@
         watcher.end()
         watcher.close()
 
-    def arrived(self) -> None:
+    def _arrived(self) -> None:
         self.counts.calls += 1
         now = time.monotonic_ns()
         self._arrivals.append(now)
@@ -422,11 +418,6 @@
     return sock
 
 
-def _mute(watcher: Watcher) -> None:
-    if watcher.transport is not None and not watcher.transport.is_closing():
-        watcher.transport.pause_reading()
-
-
 def _unix_ms() -> int:
     return time.time_ns() // 1_000_000
 
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -26,13 +26,15 @@
 
 @contextlib.asynccontextmanager
 async def standing(servers: int = 40, history: int = 100) -> AsyncIterator[tuple[Standin, int]]:
-    standin = Standin()
+    standin, faults = Standin(), []
+    asyncio.get_running_loop().set_exception_handler(lambda _, fault: faults.append(fault))
     try:
         async with asyncio.timeout(60):  # a hang fails the test; nothing is timed by this
             started = await standin.start(servers, 7, 2, 2, 2, [9001, 9002], history)
             yield standin, started["port"]
     finally:
         await standin.close()
+    assert faults == []
 
 
 class Agent:
@@ -127,6 +129,11 @@
             assert listing.complete == (history != "kept")
             assert agent.known == await listed(port)
             assert (await standin.count())["failed"] == 1
+            await agent.knows((await standin.change("DRAINING", count=1))["revision"])
+            assert agent.known == await listed(port)
+            await standin.begin_outage("silent")  # a restart alone
+            await standin.end_outage("renumbered")
+            assert await agent.told.get() is None and (await agent.knows(1)).revision == 1
 
     asyncio.run(run())
 
@@ -195,6 +202,22 @@
     asyncio.run(run())
 
 
+def test_who_leaves_is_waited_for_no_more() -> None:
+    async def run() -> None:
+        async with standing() as (standin, port):
+            for wait_ms, leaves in ((50, True), (100, False)):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(f"GET /catalog/members?index=1&wait={wait_ms} HTTP/1.1\r\n\r\n".encode())
+                await until(standin, waiting=1)
+                if not leaves:
+                    assert b"200 OK" in await reader.readline()
+                writer.close()
+                await until(standin, waiting=0)
+            await until(standin, left=1, empty=1)
+
+    asyncio.run(run())
+
+
 def test_large_answers_go_out_so_many_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(standin_module, "LARGE_AT_ONCE", 2)
 
@@ -223,7 +246,10 @@
                 length = int(head.partition(b"Content-Length: ")[2].split()[0])
                 revisions.append(json.loads(await reader.readexactly(length))["revision"])
                 writer.close()
-            assert revisions == [1, 1, 2, 2]  # what had not begun is answered with what is known by then
+                if len(revisions) == 1:
+                    await until(standin, queued=1)  # the first that waited has begun
+                    await standin.change("DRAINING", count=1)
+            assert revisions == [1, 1, 2, 3]  # what had not begun is answered with what is known by then
             counts = await standin.count()
             assert counts["queue_most"] == 3 and counts["left"] == 1 and counts["queued"] == 0
 
