Tell the module of a whole list what it changes, and read a large one in many turns

Now an entry that reads as it last did gives the same Member, so that only its JSON costs; entries are made 64 to a turn of the loop; and `Backends.told` returns what a list changes, a whole one too, so that the module hears of changes alone. What is kept for it is bounded by the list. Reading is not timed by the call's limit any more: the answer has come.

--- a/fleet/hollow.py
+++ b/fleet/hollow.py
@@ -90,8 +90,8 @@
             None if hand else Random(seed))
         pool = Pool(self._clock, config.connect_timeout_us, config.conn_idle_us, CONNECTIONS)
         backends = Backends(self._clock, settings.report_fields, pool)
-        agent = Agent(Balancer(settings, seed), self._clock, backends, self.discovery)
-        agent.start(config.known)
+        self.agent = Agent(Balancer(settings, seed), self._clock, backends, self.discovery)
+        self.agent.start(config.known)
 
     def end(self) -> None:
         if self.discovery is not None:
--- a/fleet/slopes.py
+++ b/fleet/slopes.py
@@ -66,8 +66,7 @@
         self._handle(BackendsChanged(kind, self._backends.told(listing)))
 
     def _take(self, body: bytes) -> None:
-        listing = self._config.parser.parse(json.loads(body))
-        self._told(listing, ListKind.FULL if listing.complete else ListKind.DELTA)
+        self._told(self._config.parser.parse(json.loads(body)), ListKind.DELTA)
 
     def figures(self) -> dict[str, float]:
         body = self._catalog.answer(None)
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -211,8 +211,8 @@
         if listing is None:
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
             return
-        kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
-        self._post(q.BackendsChanged(kind, self._backends.told(listing)))
+        # Of a whole list, too, the module is told what it changes.
+        self._post(q.BackendsChanged(q.ListKind.DELTA, self._backends.told(listing)))
 
     def _log(self, a: q.Log) -> None:
         log.info("%s", a.text)
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -5,7 +5,7 @@
 import errno
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from brasshead.interface import Backend, BackendId, Outcome, State
 
@@ -220,20 +220,30 @@
         self._probe = Ask(b"GET", LOAD if report_fields else b"/ping", [])
 
     def told(self, listing: Listing) -> list[Backend]:
-        """Take in what discovery says; return the entries in the module's form."""
+        """Take in what discovery says; return what that changes, in the module's form.
+
+        Of a whole list too, which so costs the module no more than what has changed in it. A backend that it
+        does not name comes back as gone.
+        """
+        changed = []
         for member in listing.members:
             backend = member.backend
-            old = self._members.pop(backend.id, None)
-            if backend.state is not State.GONE:
+            old = self._members.get(backend.id)
+            if old == member:
+                continue
+            changed.append(backend)
+            if backend.state is State.GONE:
+                self._members.pop(backend.id, None)
+            else:
                 self._members[backend.id] = member
             if old is not None and not (old.same_process(member) and backend.state is State.READY):
                 self.pool.forget(backend.id)
         if listing.complete:
             named = {m.backend.id for m in listing.members}
             for gone in [i for i in self._members if i not in named]:
-                del self._members[gone]
+                changed.append(replace(self._members.pop(gone).backend, state=State.GONE))
                 self.pool.forget(gone)
-        return [m.backend for m in listing.members]
+        return changed
 
     def ready(self, backend: BackendId) -> Member | None:
         member = self._members.get(backend)
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -4,8 +4,11 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
+from operator import itemgetter
 from random import Random
 from typing import Any
 
@@ -25,6 +28,7 @@
 ANSWER_S = 2.0  # a call that need not wait may take so long, its connection included
 LATE_S = 0.5  # and one that waited so long past its wait: 2 s past it, what it misses counts as told
 ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
+SLICE = 64  # entries of a list that are read in one turn of the loop: half a millisecond
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
 
@@ -61,9 +65,15 @@
     return Address(host, int(port))
 
 
+_FIELDS = itemgetter("host_port", "locality", "flavor", "cell", "phase", "size", "up_since_ms")
+
+
 class ListingParser:
     """Turns discovery's JSON into a Listing; raises ValueError on what does not fit its form as a whole.
 
+    An entry that reads as it last did gives the same Member, so that a whole list of which little has changed
+    costs little more than its JSON.
+
     An entry that does not fit harms itself only: its backend, where it is named, is taken for gone. Refused
     whole, a change with one bad entry would come again to each call, and nothing be heard of the others.
     """
@@ -72,18 +82,48 @@
         self._clock = clock
         self._zones = {name: i for i, name in enumerate(zones)}
         self._kinds = {name: i for i, name in enumerate(kinds)}
+        self._read: dict[str, tuple[tuple[Any, ...], Member]] = {}  # of each id that is listed, as it came
 
     def parse(self, doc: Any) -> Listing:
-        try:
-            entries = doc["members"]
-            if not isinstance(entries, list):
-                raise TypeError("members")
-            members = tuple(m for m in map(self._entry, entries) if m is not None)
-            return Listing(int(doc["revision"]), bool(doc["complete"]), members)
-        except (KeyError, TypeError, AttributeError, OverflowError) as e:
-            raise ValueError(f"list of backends: {type(e).__name__} {e}") from None
+        with _form():
+            return self._listing(doc, [self._entry(m) for m in _entries(doc)])
+
+    async def parse_aside(self, doc: Any) -> Listing:
+        """The same in many turns of the loop: a list of thousands would hold up calls for 50 ms."""
+        with _form():
+            entries, members = _entries(doc), []
+            for i in range(0, len(entries), SLICE):
+                if i:
+                    await asyncio.sleep(0)
+                members += [self._entry(m) for m in entries[i:i + SLICE]]
+            return self._listing(doc, members)
+
+    def _listing(self, doc: Any, members: list[Member | None]) -> Listing:
+        told = tuple(m for m in members if m is not None)
+        listing = Listing(int(doc["revision"]), bool(doc["complete"]), told)
+        if listing.complete:
+            named = {m.backend.id for m in listing.members}
+            self._read = {name: read for name, read in self._read.items() if name in named}
+        return listing
 
     def _entry(self, m: Any) -> Member | None:
+        try:
+            fields = _FIELDS(m)
+            read = self._read.get(m["id"])
+            if read is not None and read[0] == fields:
+                return read[1]
+        except (KeyError, TypeError):
+            fields = ()  # some are optional, and what is wrong with the others is said below
+        member = self._made(m)
+        if member is not None:
+            self._read.pop(str(member.backend.id), None)
+            if fields and member.backend.state is not State.GONE:
+                # What stands in many entries is kept once.
+                kept = tuple(sys.intern(x) if type(x) is str else x for x in fields)
+                self._read[str(member.backend.id)] = kept, member
+        return member
+
+    def _made(self, m: Any) -> Member | None:
         try:
             return self._member(m)
         except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as e:
@@ -103,6 +143,22 @@
         return Member(backend, parse_address(m["host_port"]))
 
 
+@contextmanager
+def _form() -> Iterator[None]:
+    """What is wrong with a list as a whole is a ValueError."""
+    try:
+        yield
+    except (KeyError, TypeError, AttributeError, OverflowError) as e:
+        raise ValueError(f"list of backends: {type(e).__name__} {e}") from None
+
+
+def _entries(doc: Any) -> list[Any]:
+    entries = doc["members"]
+    if not isinstance(entries, list):
+        raise TypeError("members")
+    return entries
+
+
 class _Call(Connection):
     """A connection to discovery; one call at a time."""
 
@@ -194,20 +250,22 @@
                 if self._revision is None or self._anew:
                     async with asyncio.timeout(ANSWER_S):
                         call = await self._connected(call)
-                        listing = await self._ask(call, PATH if self._revision is None else self._since(1))
+                        body = await call.get(PATH if self._revision is None else self._since(1))
                 else:
                     call = await self._connected(call)
                     wait_ms = self._next_wait_ms()
                     try:
                         # Bounded: a machine that is cut off says nothing, and the watch would wait for ever.
                         async with asyncio.timeout(wait_ms / 1000 + LATE_S):
-                            listing = await self._ask(call, self._since(wait_ms))
+                            body = await call.get(self._since(wait_ms))
                     except TimeoutError:
                         # Silent is no sign of a crowd: opened anew at once, and what it missed is asked for.
                         log.warning("watch of discovery fell silent; opened anew")
                         call.drop()
                         call, self._anew = None, True
                         continue
+                # Not timed: it has come, and how long it takes to read is this agent's affair.
+                listing = await self._parser.parse_aside(json.loads(body))
                 self._anew = False
                 if self._revision is not None and listing.revision < self._revision:
                     # Begun ahead of what is known, or of a discovery that counts anew: the whole list tells.
@@ -242,7 +300,8 @@
         try:
             async with asyncio.timeout(ANSWER_S):
                 call = await self._connected(None)
-                listing = await self._ask(call, PATH)
+                body = await call.get(PATH)
+            listing = await self._parser.parse_aside(json.loads(body))
             if self._revision is not None and listing.revision < self._revision:
                 held, revision, listing = self._revision, listing.revision, None
                 raise ConnectionError(f"revision {revision} is older than {held}")
@@ -265,9 +324,6 @@
             _, call = await loop.create_connection(_Call, self._address.host, self._address.port)
         return call
 
-    async def _ask(self, call: _Call, target: str) -> Listing:
-        return self._parser.parse(json.loads(await call.get(target)))
-
 
 def _failed(e: Exception) -> None:
     """What discovery does wrong is one line; a fault of the agent's own shows where it is."""
