--- a/fleet/experiment.py
+++ b/fleet/experiment.py
@@ -41,7 +41,7 @@
     real: Annotated[int, Meta(ge=0, le=32)] = 1  # processes of their own, with calls
     workers: Annotated[int, Meta(ge=0, le=WORKERS_MOST)] = 0  # processes of hollow ones; 0: by cores
     shared: bool = False  # hollow agents of a process share the entries of equal lists
-    siblings: Count = 0  # how many agents each is told that there are; 0: as many as servers listed
+    siblings: Count = 0  # told to each as the number of agents, if there are no more; 0: one for each server
 
 
 class DiscoveryTable(Table, frozen=True):
--- a/fleet/play.py
+++ b/fleet/play.py
@@ -19,6 +19,7 @@
 
 MEMORY_SHARE = 0.5  # of the machine's, at most
 START_S = 120.0  # the most that all roles may take to start and to end, besides the time of the file
+FIRST_REVISION = 1000  # one that counts anew from 1 is to be told from one that goes on
 LOOK_S = 0.5  # memory is looked at so often
 PERCENTILES = {"p50": 50.0, "p90": 90.0, "p99": 99.0, "p999": 99.9, "max": 100.0}
 
@@ -95,7 +96,7 @@
         s = e.servers
         shape = {"servers": s.listed, "seed": self._seed, "regions": s.regions,
                  "zones_per_region": s.zones_per_region, "racks_per_zone": s.racks_per_zone, "ports": ports}
-        begun = await self._standin.call("start", **shape, history=e.discovery.history)
+        begun = await self._standin.call("start", **shape, history=e.discovery.history, revision=FIRST_REVISION)
         self._revision = self._first_revision = begun["revision"]
         self._figures["list.size.bytes"] = begun["list_bytes"]
         known = {"revision": begun["revision"], "complete": True,
--- a/fleet/standin.py
+++ b/fleet/standin.py
@@ -142,11 +142,11 @@
                 "end_outage": self.end_outage, "drip": self.drip, "counts": self.count, "made": self.made}
 
     async def start(self, servers: int, seed: int, regions: int, zones_per_region: int, racks_per_zone: int,
-                    ports: Sequence[int], history: int) -> dict[str, Any]:
+                    ports: Sequence[int], history: int, revision: int = 1) -> dict[str, Any]:
         if self._holder is not None:
             raise ValueError("started already")
         entries = generate(servers, seed, regions, zones_per_region, racks_per_zone, ports)
-        self._catalog = Catalog(entries, history)
+        self._catalog = Catalog(entries, history, revision)
         self._holder = _bound(0)
         await self._listen()
         self._slot = int(self._loop.time() / SLOT_S)
