--- a/fleet/play.py
+++ b/fleet/play.py
@@ -96,7 +96,8 @@
         s = e.servers
         shape = {"servers": s.listed, "seed": self._seed, "regions": s.regions,
                  "zones_per_region": s.zones_per_region, "racks_per_zone": s.racks_per_zone, "ports": ports}
-        begun = await self._standin.call("start", **shape, history=e.discovery.history, revision=FIRST_REVISION)
+        begun = await self._standin.call(
+            "start", **shape, history=e.discovery.history, revision=FIRST_REVISION)
         self._revision = self._first_revision = begun["revision"]
         self._figures["list.size.bytes"] = begun["list_bytes"]
         known = {"revision": begun["revision"], "complete": True,
--- a/fleet/settings.py
+++ b/fleet/settings.py
@@ -15,8 +15,8 @@
         "seed": f"{e.seed * 1_000_003 + number:x}",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
         "settings": {
-            "siblings": max(e.siblings, e.agents.hollow + e.agents.real), "me": number, "zone": 0, "quantumUs": 5000,
-            "registryMode": e.discovery.mode,
+            "siblings": max(e.siblings, e.agents.hollow + e.agents.real), "me": number, "zone": 0,
+            "quantumUs": 5000, "registryMode": e.discovery.mode,
             "localities": [f"r{r}-z{z}" for r in range(e.servers.regions)
                            for z in range(e.servers.zones_per_region)],
             "skus": ["fast-1c", "mid-1c", "slow-1c"],
