Test leaving clients ahead of further tries, second copies, held timers and the accept

Not covered were a try after a break, a second copy and the end of a hold that fall due before the close is read, a close in the accept queue, and a half close, which the kernel tells like any other. Idle connections now stand ready, so that what is sent is written in the very turn.

The count of what a backend holds is still asserted to be none where nothing was sent; an attempt that was out leaves its residue by design, and there all else is asserted.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -10,8 +10,11 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import LOAD, UNSAFE, Conversation, Peer, World, member, post, world
+from tests.loopback import KEYED, LOAD, UNSAFE, Conversation, Message, Peer, World, member, post, world
 
+from brasshead.interface import TimerFired
+
+from lilacsill.client import Client
 from lilacsill.clock import Clock
 from lilacsill.discovery import Listing, ListingParser
 
@@ -30,7 +33,11 @@
     s.close()
 
 
-LEAVING = pytest.mark.parametrize("leave", [by_fin, by_reset, by_fin_behind_bytes])
+def by_half_close(s: socket.socket) -> None:
+    s.shutdown(socket.SHUT_WR)  # no other than a close, as far as the kernel is told
+
+
+LEAVING = pytest.mark.parametrize("leave", [by_fin, by_reset, by_fin_behind_bytes, by_half_close])
 
 
 def listing(*peers: Peer) -> Listing:
@@ -61,19 +68,32 @@
         assert poll.poll(10_000)  # it is in the kernel there, and has not been read
 
 
+async def kept_open(w: World) -> None:
+    """To each backend an idle connection: what is sent is then written in the very turn."""
+    pool = w.agent._backends.pool
+    for there in listing(*w.backends).members:
+        pool.give_back(await pool.open(there), True, there)
+
+
 async def taken(w: World, number: int) -> None:
     while w.agent._taken < number:
         await asyncio.sleep(0)
 
 
-async def forgotten(w: World) -> None:
-    """Wait for the turns in which all of it is seen; nothing is left in the counts of agent and module."""
+async def nothing_goes_on(w: World) -> None:
+    """Wait for the turns in which all of it is seen; nothing more is sent or held."""
     while w.server.connections or w.server.open_ids:
         await asyncio.sleep(0)
     await asyncio.sleep(0.3)  # what were sent on nevertheless would have come by now
     balancer = w.agent._balancer
     assert not w.agent._held and not w.agent._out and w.nothing_sent()
     assert not balancer.requests and not balancer.waiting and balancer.out == 0
+
+
+async def forgotten(w: World) -> None:
+    """The same where nothing was sent: nothing of it is left in the counts of the module either."""
+    await nothing_goes_on(w)
+    balancer = w.agent._balancer
     assert all(s.own(balancer.now) == 0 for s in balancer.servers.values())
 
 
@@ -123,6 +143,7 @@
 def test_one_that_left_before_its_request_was_read(tmp_path: Path, many: int) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
+            await kept_open(w)
             callers = [await Caller(w).accepted() for _ in range(many)]
             for i, caller in enumerate(callers):
                 caller.socket.send(post(Request_Id=f"9b{i}"))
@@ -132,15 +153,49 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("many", [1, 40])
+def test_one_that_left_before_it_was_accepted(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, many: int) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await kept_open(w)
+            came, accepted = w.server.came, list[Client]()
+
+            def counted(client: Client) -> None:
+                accepted.append(client)
+                came(client)
+
+            monkeypatch.setattr(w.server, "came", counted)
+            for i in range(many):
+                s = socket.create_connection(("127.0.0.1", w.port))
+                s.send(post(Request_Id=f"9b{i}"))
+                s.close()
+            while len(accepted) < many:
+                await asyncio.sleep(0)
+            await forgotten(w)
+
+    asyncio.run(run())
+
+
+def turned_away(first: Message) -> None:
+    first.peer.writer.write(b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+
+
+def broken(first: Message) -> None:
+    first.peer.shut()
+
+
 @LEAVING
-def test_one_that_waits_for_another_try(tmp_path: Path, leave: Callable[[socket.socket], None]) -> None:
+@pytest.mark.parametrize("cls, ends", [(UNSAFE, turned_away), (KEYED, broken)])
+def test_one_that_waits_for_another_try(
+        tmp_path: Path, leave: Callable[[socket.socket], None], cls: str,
+        ends: Callable[[Message], None]) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=2) as w:
+            await kept_open(w)
             caller = await Caller(w).accepted()
-            caller.socket.send(post(UNSAFE))
-            first = await w.request()
-            head = b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
-            first.peer.writer.write(head)  # in the kernel at once, and so it is read first
+            caller.socket.send(post(cls))
+            ends(await w.request())  # in the kernel at once, and so it is read first
             caller.leave(leave)
             while w.agent._held:
                 await asyncio.sleep(0)
@@ -150,6 +205,60 @@
     asyncio.run(run())
 
 
+def timer_falls_due(w: World) -> None:
+    """The next timer of the module fires ahead of whatever has not been read."""
+    balancer, now = w.agent._balancer, w.agent._clock.now
+    late_us = max(0, balancer.due[0][0] - now())
+    w.agent._clock.now = lambda: now() + late_us  # type: ignore[method-assign]
+    w.agent._post(TimerFired(balancer.armed))
+
+
+STAYING = pytest.mark.parametrize("leave", [None, by_fin, by_reset])
+
+
+@STAYING
+def test_one_whose_hold_ends_before_its_close_is_read(
+        tmp_path: Path, leave: Callable[[socket.socket], None] | None) -> None:
+    async def run() -> None:
+        async with waiting(tmp_path) as (w, peer):
+            await kept_open(w)
+            caller = await Caller(w).accepted()
+            caller.socket.send(post(UNSAFE))
+            await taken(w, 1)
+            w.agent._listed(listing(peer))
+            if leave is not None:
+                caller.leave(leave)
+            timer_falls_due(w)
+            if leave is not None:
+                return await forgotten(w)
+            await peer.requests.get()  # who stays is served
+            caller.socket.close()
+
+    asyncio.run(run())
+
+
+@STAYING
+def test_one_whose_second_copy_is_due_before_its_close_is_read(
+        tmp_path: Path, leave: Callable[[socket.socket], None] | None) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=2, secondCopies=True) as w:
+            await kept_open(w)
+            w.agent._balancer.table.typical = 3e6  # due after thrice as long
+            caller = await Caller(w).accepted()
+            caller.socket.send(post())
+            first = await w.request()
+            if leave is not None:
+                caller.leave(leave)
+            timer_falls_due(w)
+            if leave is not None:
+                await first.peer.ended()
+                return await nothing_goes_on(w)
+            await w.request()  # who stays gets the copy
+            caller.socket.close()
+
+    asyncio.run(run())
+
+
 @LEAVING
 @pytest.mark.parametrize("read", [False, True])
 def test_one_that_waits_for_a_connection_that_comes_up_late(
