--- a/tests/test_small_fleet.py
+++ b/tests/test_small_fleet.py
@@ -1,6 +1,7 @@
 """The small fleet as a person runs it: it counts right, tells a fault in one line, and leaves nothing."""
 from __future__ import annotations
 
+import asyncio
 import json
 import signal
 import subprocess
@@ -11,6 +12,9 @@
 import psutil
 import pytest
 
+from fleet import play
+from fleet.experiment import read
+
 ROOT = Path(__file__).parent.parent
 SMALL = ROOT / "experiments" / "small.toml"
 
@@ -93,3 +97,12 @@
         running.kill()
     _, alive = psutil.wait_procs(left, timeout=10)
     assert not alive
+
+
+@pytest.mark.parametrize("bound, told", [("MEMORY_SHARE", "memory: "), ("START_S", "not over within")])
+def test_a_play_that_passes_its_bounds_is_given_up_and_leaves_no_process(
+        monkeypatch: pytest.MonkeyPatch, bound: str, told: str) -> None:
+    monkeypatch.setattr(play, bound, 1e-6 if bound == "MEMORY_SHARE" else -10.0)
+    with pytest.raises(play.PlayError, match=told):
+        asyncio.run(play.Play(read(SMALL), 1, lambda _: None).run())
+    assert not psutil.Process().children(recursive=True)
