--- a/fleet/play.py
+++ b/fleet/play.py
@@ -19,6 +19,7 @@
 
 MEMORY_SHARE = 0.5  # of the machine's, at most
 START_S = 120.0  # the most that all roles may take to start and to end, besides the time of the file
+WATCH_S = 60.0  # the most until all agents watch
 FIRST_REVISION = 1000  # one that counts anew from 1 is to be told from one that goes on
 LOOK_S = 0.5  # memory is looked at so often
 PERCENTILES = {"p50": 50.0, "p90": 90.0, "p99": 99.0, "p999": 99.9, "max": 100.0}
@@ -154,8 +155,8 @@
             waiting = (await self._standin.call("counts"))["waiting"]
             if waiting >= wanted and time.monotonic() - began >= e.warm_s:
                 return
-            if time.monotonic() - began > START_S / 2:
-                raise PlayError(f"only {waiting} of {wanted} agents watch after {START_S / 2:.0f} s")
+            if time.monotonic() - began > WATCH_S:
+                raise PlayError(f"only {waiting} of {wanted} agents watch after {WATCH_S:.0f} s")
             await asyncio.sleep(0.1)
 
     async def _measured(self, servers: Role) -> None:
