--- a/tests/test_small_fleet.py
+++ b/tests/test_small_fleet.py
@@ -102,7 +102,7 @@
 @pytest.mark.parametrize("bound, told", [("MEMORY_SHARE", "memory: "), ("START_S", "not over within")])
 def test_a_play_that_passes_its_bounds_is_given_up_and_leaves_no_process(
         monkeypatch: pytest.MonkeyPatch, bound: str, told: str) -> None:
-    monkeypatch.setattr(play, bound, 1e-6 if bound == "MEMORY_SHARE" else -10.0)
+    monkeypatch.setattr(play, bound, 1e-6 if bound == "MEMORY_SHARE" else -22.0)
     with pytest.raises(play.PlayError, match=told):
         asyncio.run(play.Play(read(SMALL), 1, lambda _: None).run())
     assert not psutil.Process().children(recursive=True)
