--- a/fleet/play.py
+++ b/fleet/play.py
@@ -54,7 +54,7 @@
         self._figures: Figures = {}
         self._began = 0.0  # of the measured time
         self._revision = self._first_revision = 0
-        self._changed_while_down = False
+        self._down = self._changed_while_down = False  # of discovery
         self._memory_mb = 0.0
 
     async def run(self) -> Figures:
@@ -207,8 +207,6 @@
         elif isinstance(event, Back):
             await self._back(event, label)
 
-    _down = False
-
     async def _change(self, event: Change, label: str) -> None:
         made = await self._standin.call(
             "change", count=event.count, where=event.where, phase=event.phase, replaced=event.replaced,
