Free a message that has arrived in part as soon as its connection ends

Cause: a reader of HTTP stood in two cycles of references, so that an ended connection's message stayed in memory until a full run of the garbage collector. - HttpReader -> parser -> bound callbacks -> HttpReader. - HttpReader -> error -> traceback -> frames of the callbacks and of `feed` -> HttpReader, where a callback had raised the error that the reader keeps. These frames also hold the bytes that were read last.

The same reader serves requests, probes and discovery, so these paths had the fault too.

Change: the parser's callbacks refer to the reader weakly. A callback stops the parser with an exception that nobody keeps. After an error the reader drops its parser and what had arrived of the message. So the last reference frees the memory, whatever ends the connection.

--- a/nickelmount/agent/http.py
+++ b/nickelmount/agent/http.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import weakref
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -71,16 +72,20 @@
     A response whose body would end only with the connection is an error (502), because a truncated body would
     look complete.
 
-    Public attributes, read-only for other modules: `incomplete` is the message that has arrived only in part,
-    `has_read_head` says whether the head of the latest message is complete, and `error` is the error that
-    ended the reading.
+    Public attributes, read-only for other modules: `incomplete` is the message that has arrived only in part
+    (None after an error), `has_read_head` says whether the head of the latest message is complete, and
+    `error` is the error that ended the reading.
+
+    No object that the reader owns refers back to it, so that the last reference to the reader frees the
+    message that has arrived in part. If there was a cycle of references, the message would stay in memory
+    until a full run of the garbage collector, which can be minutes away.
     """
 
     def __init__(
         self, parser_type: type[HttpRequestParser] | type[HttpResponseParser], max_body_bytes: int
     ) -> None:
-        self._parser_type = parser_type
-        self._parser = parser_type(self)
+        # The parser; None after an error, so that the part of a line that it has buffered is freed.
+        self._parser: HttpRequestParser | HttpResponseParser | None = parser_type(_ParserCallbacks(self))
         self._max_body_bytes = max_body_bytes
         self._completed: list[HttpMessage] = []  # Complete messages that `feed` has not returned yet.
         self._head_bytes = 0  # Size of the target and of the complete header lines of the latest head.
@@ -101,12 +106,12 @@
         if self.incomplete is not None:
             self._limit_unfinished(len(data), body_grew=self._total_body_bytes != body_bytes_before)
         if self.error is not None:
-            # The old parser is replaced to free the part of a line that it has buffered.
-            self._parser = self._parser_type(self)
+            self._parser = self.incomplete = None
         completed, self._completed = self._completed, []
         return completed
 
     def _parse(self, data: bytes) -> None:
+        assert self._parser is not None
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -114,7 +119,7 @@
             # The parser has already reported the request that asks for the upgrade as complete.
             self._completed.clear()
         except HttpParserError as error:
-            # An HttpError that a callback has raised arrives here wrapped in a parser error.
+            # The parser converts an exception of a callback, such as _ReadingStopped, to this error.
             self.error = self.error or HttpError(400, f"malformed message: {error}")
 
     def _limit_unfinished(self, size: int, body_grew: bool) -> None:
@@ -127,7 +132,7 @@
         if self._unfinished_bytes > MAX_HEAD_BYTES:
             self.error = self.error or HttpError(400, "head too large")
 
-    # Callbacks of llhttp, in the order in which they are called. An exception in a callback stops the parser.
+    # Events of the parser, in the order in which they occur. An exception that one raises stops the parser.
 
     def on_message_begin(self) -> None:
         """Begin a new message."""
@@ -156,6 +161,7 @@
         """Store the method or the status, and check the HTTP version and the stated length of the body."""
         message, parser = self.incomplete, self._parser
         assert message is not None
+        assert parser is not None
         self.has_read_head = True
         if parser.get_http_version() not in SUPPORTED_VERSIONS:
             self._fail(400, "unknown version of HTTP")
@@ -195,9 +201,51 @@
             self._fail(400, "head too large")
 
     def _fail(self, status: int, message: str) -> None:
-        """Set the error and raise it to the parser, which then stops."""
+        """Set the error and stop the parser.
+
+        The error itself is not raised. Its traceback would refer to this reader and to the bytes that were
+        read, and the reader refers to the error.
+        """
         self.error = HttpError(status, message)
-        raise self.error
+        raise _ReadingStopped
+
+
+class _ReadingStopped(Exception):  # noqa: N818 - It stops the parser; the error is HttpReader.error.
+    """Raised in a callback of the parser to make it stop."""
+
+
+class _ParserCallbacks:
+    """The callbacks of a parser, which pass each event to a reader.
+
+    A parser refers to its callbacks strongly for as long as it lives. Because these refer to the reader only
+    weakly, the reader and its parser do not keep each other alive.
+    """
+
+    def __init__(self, reader: HttpReader) -> None:
+        self._reader = weakref.ref(reader)
+
+    def _live_reader(self) -> HttpReader:
+        reader = self._reader()
+        assert reader is not None  # The parser is called by the reader alone.
+        return reader
+
+    def on_message_begin(self) -> None:
+        self._live_reader().on_message_begin()
+
+    def on_url(self, url: bytes) -> None:
+        self._live_reader().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._live_reader().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        self._live_reader().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        self._live_reader().on_body(body)
+
+    def on_message_complete(self) -> None:
+        self._live_reader().on_message_complete()
 
 
 def _is_interim(message: HttpMessage) -> bool:
