Limit the memory that messages of all peers take together

What callers would see: an agent that is killed over its memory limit, with all requests in flight, if many peers send large messages or read nothing at the same time. Each message had a limit of its own (1 MiB for a response, 64 KiB for a request), but their number is that of the connections: 100 responses of 1 MiB at 256 descriptors. A head of 32 KB with thousands of small fields takes 275 KiB more, which no limit counted.

Seen: an agent with memory_mb 32 and 256 descriptors gets 60 requests, and endpoints send 0.9 MB of each answer and stop.

Connections with clients and endpoints record what they hold: messages that have arrived in part, with the memory of their header fields, requests in flight, and sent bytes that the kernel has not taken. If the sum exceeds the budget, the largest message is given up until the rest fits, so that messages of ordinary size go on. An endpoint's response then counts as unusable, and a request that was not written completely as never sent; a client's request that no handler has is rejected with 503; an answer that its client does not read ends with its connection. A request in flight is never given up, but it counts, and the next one is rejected if it does not fit. The body of a request is kept once and no longer twice. Discovery has one connection and keeps its limit of 4 MiB.

The shutdown logs the largest size that the buffers had and how many messages were given up, so that a process that buffers much can be told from one that leaks.

--- a/nickelmount/agent/assembly.py
+++ b/nickelmount/agent/assembly.py
@@ -16,6 +16,7 @@
 from nickelmount.protocol.endpoint_list import EndpointListParser
 
 from .agent import Agent
+from .buffer_budget import BufferBudget
 from .clock import Clock
 from .config import Config
 from .connection_pool import SETTLE_TIME_US, ConnectionPool
@@ -46,8 +47,11 @@
     """
     max_connections = max(2, config.max_sockets - RESERVED_DESCRIPTORS)
     max_client_connections = max(1, int(CLIENT_CONNECTION_SHARE * max_connections))
-    agent = build_agent(config, clock, max_connections - max_client_connections, settle_time_us)
-    listener = Listener(config.settings, agent, max_client_connections, timeouts or ClientTimeouts())
+    budget = BufferBudget(config.max_buffer_bytes)
+    agent = build_agent(
+        config, clock, max_connections - max_client_connections, settle_time_us, buffer_budget=budget
+    )
+    listener = Listener(config.settings, agent, max_client_connections, timeouts or ClientTimeouts(), budget)
     return agent, listener
 
 
@@ -57,23 +61,34 @@
     max_upstream_connections: int,
     settle_time_us: int = SETTLE_TIME_US,
     discovery_client: DiscoveryClient | None = None,
+    buffer_budget: BufferBudget | None = None,
 ) -> Agent:
     """Build an agent without a listener; needs a running event loop.
 
-    If `discovery_client` is None, build_discovery_client builds one.
+    If `discovery_client` is None, build_discovery_client builds one. The messages of endpoints count against
+    `buffer_budget`, if given.
     """
-    upstream = build_upstream(config, clock, max_upstream_connections, settle_time_us)
+    upstream = build_upstream(config, clock, max_upstream_connections, settle_time_us, buffer_budget)
     if discovery_client is None:
         discovery_client = build_discovery_client(config, DiscoveryClient)
     return Agent(Balancer(config.settings, config.seed), clock, upstream, discovery_client)
 
 
 def build_upstream(
-    config: Config, clock: Clock, max_upstream_connections: int, settle_time_us: int = SETTLE_TIME_US
+    config: Config,
+    clock: Clock,
+    max_upstream_connections: int,
+    settle_time_us: int = SETTLE_TIME_US,
+    buffer_budget: BufferBudget | None = None,
 ) -> Upstream:
     """Build the side of an agent towards endpoints."""
     pool = ConnectionPool(
-        clock, config.connect_timeout_us, config.idle_timeout_us, max_upstream_connections, settle_time_us
+        clock,
+        config.connect_timeout_us,
+        config.idle_timeout_us,
+        max_upstream_connections,
+        settle_time_us,
+        buffer_budget,
     )
     return Upstream(clock, config.settings.load_report_fields, pool)
 
--- a/nickelmount/agent/connection.py
+++ b/nickelmount/agent/connection.py
@@ -8,6 +8,8 @@
 import socket
 from contextlib import suppress
 
+from .buffer_budget import BufferBudget
+
 log = logging.getLogger(__name__)
 
 RECEIVE_BUFFER_BYTES = 256 * 1024
@@ -19,10 +21,13 @@
 class Connection(asyncio.BufferedProtocol):
     """A TCP connection that passes received bytes to its subclass and tracks whether sent bytes are written.
 
-    A subclass overrides on_data, on_handler_error and on_peer_closed.
+    A subclass overrides on_data, on_handler_error and on_peer_closed. If it has a budget for the messages
+    that it keeps in memory, it also overrides buffered_bytes, can_evict_buffers and evict_buffers.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: BufferBudget | None = None) -> None:
+        """Create a connection whose buffers count against a budget, or against none."""
+        self._budget = budget
         self.transport: asyncio.Transport | None = None  # None until the connection is established.
         self.all_written = True  # Whether the kernel has taken every byte that was sent.
         # Whether nothing more may be sent: the connection was lost or was aborted on this side, or the
@@ -44,6 +49,22 @@
         May be called twice.
         """
 
+    def buffered_bytes(self) -> int:
+        """Return the size of the messages that this connection keeps in memory.
+
+        This includes the bytes that were sent and that the kernel has not taken yet.
+        """
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
+    @property
+    def can_evict_buffers(self) -> bool:
+        """Whether the message that takes the memory may be given up."""
+        return True
+
+    def evict_buffers(self) -> None:
+        """Give up the message that takes the memory; the default is to close the connection immediately."""
+        self.abort()
+
     # Methods that asyncio calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -63,6 +84,7 @@
             return
         try:
             self.on_data(bytes(_RECEIVE_BUFFER[:nbytes]))
+            self._update_budget()
         except Exception:
             # Every exception is caught, because asyncio would close the transport if one left this method.
             # The subclass would take that for a close by the peer, so that a bug in this program would look
@@ -78,11 +100,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the connection has ended, whichever side ended it."""
         self.closed = True
+        self._update_budget()
         self.on_peer_closed()
 
     def resume_writing(self) -> None:
         """Record that the write buffer is empty."""
         self.all_written = True
+        self._update_budget()
 
     # Methods for subclasses and for the owners of a connection
 
@@ -93,6 +117,7 @@
         # A failed write empties the buffer too, although the peer never got the bytes. The transport is
         # closing in that case, so both conditions are checked.
         self.all_written = not self.transport.is_closing() and self.transport.get_write_buffer_size() == 0
+        self._update_budget()
 
     def has_nothing_to_read(self) -> bool:
         """Return whether the connection is open and its socket holds neither bytes nor a close by the peer.
@@ -150,8 +175,14 @@
         first, which takes effect immediately.
         """
         self.discards_input = self.closed = True
+        self._update_budget()
         if self.transport is None or self.transport.is_closing():
             return
         with suppress(OSError):  # The peer may have reset the connection already.
             self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
         self.transport.abort()
+
+    def _update_budget(self) -> None:
+        """Record the present size of the buffers, which may end this connection or another one."""
+        if self._budget is not None:
+            self._budget.set_size(self, 0 if self.closed else self.buffered_bytes())
--- a/nickelmount/agent/connection_pool.py
+++ b/nickelmount/agent/connection_pool.py
@@ -15,6 +15,7 @@
 from nickelmount.balancer.events import EndpointId
 from nickelmount.protocol.endpoint_list import ListedEndpoint
 
+from .buffer_budget import BufferBudget
 from .clock import Clock
 from .connection import Connection
 from .http import HttpMessage, HttpReader
@@ -28,7 +29,9 @@
 # connection that was reused at once, those bytes would be read as the response to the next request. If they
 # arrive while the connection is idle, it is closed.
 SETTLE_TIME_US = 10_000
-MAX_RESPONSE_BODY_BYTES = 1024 * 1024  # The limit for one body, which is held in memory as a whole.
+# The limit for one body, which is held in memory as a whole. The memory of all of them together is limited by
+# the budget of the pool.
+MAX_RESPONSE_BODY_BYTES = 1024 * 1024
 
 
 class ConnectionOwner(Protocol):
@@ -47,8 +50,10 @@
 class PooledConnection(Connection):
     """A connection to one endpoint, either idle or owned by one exchange."""
 
-    def __init__(self, pool: ConnectionPool, listed: ListedEndpoint) -> None:
-        super().__init__()
+    def __init__(
+        self, pool: ConnectionPool, listed: ListedEndpoint, budget: BufferBudget | None = None
+    ) -> None:
+        super().__init__(budget)
         self.listed = listed  # The endpoint's list entry at the time the connection was opened.
         # The exchange whose request is being sent or is in flight; None before that and after the release.
         self.owner: ConnectionOwner | None = None
@@ -91,6 +96,24 @@
         else:
             self._pool.discard(self)
 
+    def buffered_bytes(self) -> int:
+        """Return the size of the response that has arrived in part and of the unwritten request."""
+        return super().buffered_bytes() + self._reader.buffered_bytes
+
+    def evict_buffers(self) -> None:
+        """End the exchange and discard the connection.
+
+        If the request is not written completely, it cannot have run, so the exchange ends like that of a lost
+        connection.
+        """
+        self.is_in_sync = False
+        if self.owner is not None:
+            if self.all_written:
+                self.owner.on_unusable_response()
+            else:
+                self.owner.on_peer_closed()
+        self._pool.discard(self)
+
     def is_quiet(self) -> bool:
         """Return whether this idle connection is open and, according to the kernel, has nothing to read.
 
@@ -114,8 +137,11 @@
         idle_timeout_us: int,
         max_connections: int,
         settle_time_us: int = SETTLE_TIME_US,
+        budget: BufferBudget | None = None,
     ) -> None:
+        """Create a pool without connections. What they read and write counts against `budget`, if given."""
         self.max_connections = max_connections
+        self._budget = budget
         self._clock = clock
         self._connect_timeout_s = connect_timeout_us / 1e6
         self._max_idle_us = int(idle_timeout_us * IDLE_TIMEOUT_SHARE)
@@ -167,7 +193,7 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._connect_timeout_s):
             _, connection = await loop.create_connection(
-                lambda: PooledConnection(self, listed), listed.address.host, listed.address.port
+                lambda: PooledConnection(self, listed, self._budget), listed.address.host, listed.address.port
             )
         self._open.add(connection)
         return connection
--- a/nickelmount/agent/downstream.py
+++ b/nickelmount/agent/downstream.py
@@ -40,6 +40,7 @@
 from nickelmount.errors import HttpError
 from nickelmount.protocol.http_names import API_PATH, EXPECT, HEALTH_PATH, REJECTED_BODY
 
+from .buffer_budget import BufferBudget
 from .connection import Connection
 from .http import Headers, HttpMessage, HttpReader, encode_response
 from .request_validation import ClientRequest, RequestValidator
@@ -100,6 +101,9 @@
     is_draining: bool  # Every answer is the last one on its connection.
     is_rejecting: bool  # Requests that arrive are rejected.
     open_request_ids: set[bytes]  # Request-Id of each request that is in flight, on any connection.
+    buffer_budget: (
+        BufferBudget | None
+    )  # The limit on the memory of all messages; None means that there is none.
 
     def connection_opened(self, client: ClientConnection) -> None:
         """Admit a new connection, or close it."""
@@ -117,7 +121,7 @@
     """
 
     def __init__(self, host: ConnectionHost, now: Callable[[], float]) -> None:
-        super().__init__()
+        super().__init__(host.buffer_budget)
         self._host, self._now = host, now
         self._reader = HttpReader(HttpRequestParser, MAX_BODY_BYTES)
         self._message: HttpMessage | None = None  # The complete request that has no answer yet.
@@ -217,6 +221,33 @@
         """Drop the request in flight, because its client no longer waits for the answer."""
         self._disconnect_request()
 
+    # Memory
+
+    def buffered_bytes(self) -> int:
+        """Return the size of the request that is read or in flight and of the unwritten answer."""
+        size = super().buffered_bytes() + self._reader.buffered_bytes
+        if self._message is not None:
+            size += self._message.memory_bytes
+        if self._request is not None:
+            size += len(self._request.body)
+        return size
+
+    @property
+    def can_evict_buffers(self) -> bool:
+        """Whether no request is in flight, which could not be given up without its handler."""
+        return self._request is None
+
+    def evict_buffers(self) -> None:
+        """Reject a request that the handler does not have, or give up an answer that is not read.
+
+        The request was not sent to an endpoint, so that the client may send it again.
+        """
+        self._message = None
+        if self.all_written:
+            self._send_error(HttpError(503, "not enough memory"))
+        else:
+            self.abort()
+
     # Requests
 
     def _read(self, data: bytes) -> None:
@@ -246,6 +277,9 @@
     def _dispatch(self, message: HttpMessage) -> None:
         """Answer a complete request at once, or hand it to the handler."""
         self._message = message
+        self._update_budget()
+        if self._message is None:
+            return  # The memory for the request would exceed the budget, and the client got its answer.
         path = message.target.partition(b"?")[0]
         if path == HEALTH_PATH:
             self._send_response(503 if self._host.is_draining else 200, [], b"")
@@ -313,8 +347,10 @@
     def _send_error(self, error: HttpError) -> None:
         """Answer with an error because of incomplete, malformed or pipelined input or because of a fault.
 
-        Bytes that arrive afterwards are dropped. Nothing is sent if the last answer was sent already.
+        Bytes that arrive afterwards are dropped, and so is a request that has arrived in part. Nothing is
+        sent if the last answer was sent already.
         """
+        self._reader.stop()
         if self.is_lingering or not self._can_send():
             return
         self.send(encode_response(error.status, [CONNECTION_CLOSE], _error_body(error)))
--- a/nickelmount/agent/http.py
+++ b/nickelmount/agent/http.py
@@ -24,6 +24,7 @@
 SUPPORTED_VERSIONS = ("1.1", "1.0")
 STATUSES_WITHOUT_BODY = (204, 304)  # A response with a status of 1xx has no body either.
 HEADER_LINE_OVERHEAD_BYTES = 4  # A header line consists of its name, ": ", its value and CR LF.
+HEADER_OBJECT_BYTES = 128  # Memory of two bytes objects and their dict entry, without the text itself.
 
 Headers = list[tuple[str, str]]
 REASON_PHRASES = {
@@ -52,6 +53,17 @@
     repeated_headers: set[bytes] = field(default_factory=set)  # Names of headers that occur more than once.
     body: bytearray = field(default_factory=bytearray)  # The body after its transfer coding was decoded.
     keep_alive: bool = False  # The sender allows another message on the connection.
+    head_memory_bytes: int = 0  # The memory that the target and the header fields take, approximately.
+
+    @property
+    def memory_bytes(self) -> int:
+        """The memory that the message takes, approximately."""
+        return self.head_memory_bytes + len(self.body)
+
+    def take_body(self) -> bytes:
+        """Return the body, and keep it no longer."""
+        body, self.body = bytes(self.body), bytearray()
+        return body
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header field, or None if it is absent; `name` is in lower case."""
@@ -97,6 +109,16 @@
         self.has_read_head = False
         self.error: HttpError | None = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The memory that the message that has arrived in part takes, approximately."""
+        return 0 if self.incomplete is None else self.incomplete.memory_bytes + self._unfinished_bytes
+
+    def stop(self) -> None:
+        """Read nothing more, and free the message that has arrived in part."""
+        self.error = self.error or HttpError(400, "reading was stopped")
+        self._parser = self.incomplete = None
+
     def feed(self, data: bytes) -> list[HttpMessage]:
         """Return the messages that these bytes complete; set `error` if the bytes after them are invalid."""
         if self.error is not None:
@@ -106,7 +128,7 @@
         if self.incomplete is not None:
             self._limit_unfinished(len(data), body_grew=self._total_body_bytes != body_bytes_before)
         if self.error is not None:
-            self._parser = self.incomplete = None
+            self.stop()
         completed, self._completed = self._completed, []
         return completed
 
@@ -143,6 +165,7 @@
         """Append a part of the target of a request."""
         assert self.incomplete is not None
         self.incomplete.target += url
+        self.incomplete.head_memory_bytes += len(url)
         self._limit_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -151,6 +174,7 @@
             return
         assert self.incomplete is not None
         self._limit_head(len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES)
+        self.incomplete.head_memory_bytes += len(name) + len(value) + HEADER_OBJECT_BYTES
         name = name.lower()
         if name in self.incomplete.headers:
             self.incomplete.repeated_headers.add(name)
--- a/nickelmount/agent/lifecycle.py
+++ b/nickelmount/agent/lifecycle.py
@@ -19,6 +19,7 @@
 
 from .agent import Agent
 from .assembly import assemble
+from .buffer_budget import BufferBudget
 from .clock import Clock
 from .config import Config, load, reload
 from .listener import ShutdownTimes
@@ -74,6 +75,7 @@
     await stop.wait()
     await listener.shut_down(_shutdown_times(config.settings))
     log.info("%s has shut down", config.name)
+    _log_buffers(listener.buffer_budget)
     # When the event loop closes, it removes its signal handlers, which restores the default actions. A
     # signal that arrived after that would kill a process that has shut down correctly, and the exit code
     # would be that of the signal. Blocked signals stay pending until the process has ended.
@@ -81,6 +83,17 @@
     return EXIT_OK
 
 
+def _log_buffers(budget: BufferBudget | None) -> None:
+    """Log how much memory messages took, which tells a process that buffers much from one that leaks."""
+    if budget is not None:
+        log.info(
+            "buffers took at most %d of %d bytes; %d messages were given up",
+            budget.peak_bytes,
+            budget.max_bytes,
+            budget.eviction_count,
+        )
+
+
 def _shutdown_times(settings: Settings) -> ShutdownTimes:
     longest_deadline_s = max(request_class.deadline_us for request_class in settings.classes) / 1e6
     finish_by_s = min(MAX_DEADLINE_S, longest_deadline_s) + FINISH_AFTER_DEADLINE_S
--- a/nickelmount/agent/listener.py
+++ b/nickelmount/agent/listener.py
@@ -25,6 +25,7 @@
 from nickelmount.balancer.settings import Settings
 from nickelmount.protocol.address import Address
 
+from .buffer_budget import BufferBudget
 from .downstream import ClientConnection, ClientTimeouts, RequestHandler
 from .request_validation import RequestValidator
 
@@ -67,14 +68,21 @@
     """
 
     def __init__(
-        self, settings: Settings, handler: RequestHandler, max_connections: int, timeouts: ClientTimeouts
+        self,
+        settings: Settings,
+        handler: RequestHandler,
+        max_connections: int,
+        timeouts: ClientTimeouts,
+        buffer_budget: BufferBudget | None = None,
     ) -> None:
         """Create a listener that has at most `max_connections` open at once.
 
-        The limit leaves descriptors for connections to endpoints.
+        The limit leaves descriptors for connections to endpoints. What the connections read and write counts
+        against `buffer_budget`, if given.
         """
         self.handler = handler
         self.validator = RequestValidator(settings.classes, settings.tenants)
+        self.buffer_budget = buffer_budget
         self.connections: set[ClientConnection] = set()
         self.open_request_ids: set[bytes] = set()
         self.is_draining = False
--- a/nickelmount/agent/request_validation.py
+++ b/nickelmount/agent/request_validation.py
@@ -105,7 +105,7 @@
             method=message.method,
             target=message.target,
             headers=[(name, fields[name]) for name in FORWARDED_HEADERS if name in fields],
-            body=bytes(message.body),
+            body=message.take_body(),
             request_class=request_class,
             tenant=self._find_tenant(fields),
             timeout_us=_parse_timeout_us(fields),
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -375,12 +375,13 @@
     endpoints: int = 1,
     max_sockets: int | None = None,
     timeouts: ClientTimeouts | None = None,
+    max_buffer_bytes: int | None = None,
     **allowed: Any,
 ) -> AsyncIterator[LoopbackSetup]:
     """Yield an agent that listens, with its endpoints s0, s1 and so on, and stop all of them after the block.
 
-    `max_sockets` and `timeouts` replace the defaults if they are given; see `settings` for `allowed`. The
-    settle time is 0, so that a connection may be reused as soon as it is idle.
+    `max_sockets`, `timeouts` and `max_buffer_bytes` replace the defaults if they are given; see `settings`
+    for `allowed`. The settle time is 0, so that a connection may be reused as soon as it is idle.
     """
     discovery = await ScriptedServer().start()
     servers = [await ScriptedServer().start() for _ in range(endpoints)]
@@ -391,6 +392,8 @@
     config = load_config(folder, doc, clock)
     if max_sockets is not None:
         config = replace(config, max_sockets=max_sockets)
+    if max_buffer_bytes is not None:
+        config = replace(config, max_buffer_bytes=max_buffer_bytes)
     agent, listener = assemble(config, clock, timeouts, settle_time_us=0)
     agent.start(config.cached_list)
     port = await listener.listen(Address("127.0.0.1", 0))
