Do not evict a connection whose last answer is not written completely

What callers would see: descriptors and memory that do not come back. At the limit on connections, a client that had been answered more than two seconds ago was evicted although it had not read its answer. The close waits until the kernel has taken all bytes, and the listener forgot the connection at once. So no time limit ended it any more, it no longer counted against the limit, and its answer stayed in memory for as long as the client kept the connection open.

Found by reading every path that keeps what a peer sent. Seen with a script first: the connection was not closed within the 60 s of the test, and `connections` did not contain it.

Change: such a connection is not idle (ClientConnection.is_idle). It is neither evicted nor closed by the shutdown's passes over idle connections, and keepalive_s ends it with an abort. Its unwritten bytes count against the budget for buffers meanwhile.

--- a/nickelmount/agent/downstream.py
+++ b/nickelmount/agent/downstream.py
@@ -147,8 +147,16 @@
         return ClientState.IDLE
 
     def is_idle(self) -> bool:
-        """Whether the state is IDLE and the kernel has nothing to read, so that a close loses no request."""
-        return self.state is ClientState.IDLE and not self.discards_input and self.has_nothing_to_read()
+        """Whether the state is IDLE, the last answer is written, and the kernel has nothing to read.
+
+        A close then loses no request, and it takes effect at once.
+        """
+        return (
+            self.state is ClientState.IDLE
+            and self.all_written
+            and not self.discards_input
+            and self.has_nothing_to_read()
+        )
 
     def has_lingered(self, duration_s: float) -> bool:
         """Whether the state has been LINGERING for over `duration_s` and a close causes no reset.
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -192,6 +192,21 @@
         await silent.wait_for_close()
 
 
+@async_test()
+async def test_connection_whose_answer_is_not_read_is_not_evicted_and_still_expires(tmp_path: Path) -> None:
+    # A client reads nothing of its answer, and another client needs a connection. A close waits until the
+    # answer is written, so the evicted connection stayed open without being counted, and no time limit ended
+    # it.
+    times = replace(EXPIRE_AT_ONCE, sweep_interval_s=0.02, keepalive_s=0.2)
+    async with loopback_setup(tmp_path, max_sockets=SOCKETS_FOR_ONE_CLIENT, timeouts=times) as setup:
+        _, unread = await client_with_unread_answer(setup)
+        async with asyncio.timeout(20):
+            while not unread.closed:
+                assert setup.listener.connections == {unread}
+                await (await setup.client()).wait_for_close()
+        assert unread not in setup.listener.connections
+
+
 # The agent as a process
 
 
