Wait for the end of an aborted connection in the test of an unread answer

The test now waits until the listener has forgotten the connection, and asserts that it was closed by then.

--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -201,10 +201,10 @@
     async with loopback_setup(tmp_path, max_sockets=SOCKETS_FOR_ONE_CLIENT, timeouts=times) as setup:
         _, unread = await client_with_unread_answer(setup)
         async with asyncio.timeout(20):
-            while not unread.closed:
+            while unread in setup.listener.connections:
                 assert setup.listener.connections == {unread}
                 await (await setup.client()).wait_for_close()
-        assert unread not in setup.listener.connections
+        assert unread.closed
 
 
 # The agent as a process
