Forward a response without a length if its connection ends in order

Cause: HttpReader.on_headers_complete failed each response whose body ends with the connection, at the end of its head. Behind it, Connection told its subclasses of an orderly close and of a reset by the same call (on_peer_closed), so that nothing above the reader could have told a whole body from a truncated one.

Change: Connection.on_eof is called for an orderly close or half-close by the peer, after all bytes before it were handled; a reset still arrives by connection_lost alone. PooledConnection then asks the reader for the response that the close completes (HttpReader.feed_eof). All else ends as before: a reset, or a close in the head, in a chunk or before the end of a stated length is RESET; a body over 1 MiB is unusable; one that never ends times out. The status decides as for other responses, so that 503 with Not-Started is a rejection. The connection is not used again.

--- a/nickelmount/agent/connection.py
+++ b/nickelmount/agent/connection.py
@@ -49,6 +49,13 @@
         May be called twice.
         """
 
+    def on_eof(self) -> None:
+        """Handle an orderly close or half-close by the peer, after all bytes that it sent were handled.
+
+        A reset is no orderly close. The default is to handle it like any other end of the connection.
+        """
+        self.on_peer_closed()
+
     def buffered_bytes(self) -> int:
         """Return the size of the messages that this connection keeps in memory.
 
@@ -95,7 +102,16 @@
 
     def eof_received(self) -> None:
         """Treat a half-close as a close; asyncio closes the transport because this returns None."""
-        self.on_peer_closed()
+        if self.discards_input:
+            self.on_peer_closed()
+            return
+        try:
+            self.on_eof()
+        except Exception:
+            # See buffer_updated for the reason why every exception is caught.
+            log.exception("failed to handle the end of a connection")
+            self.discards_input = True
+            self.on_handler_error()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the connection has ended, whichever side ended it."""
--- a/nickelmount/agent/connection_pool.py
+++ b/nickelmount/agent/connection_pool.py
@@ -88,6 +88,14 @@
             self.owner.on_unusable_response()
         self._pool.discard(self)
 
+    def on_eof(self) -> None:
+        """Report the response that the close completes, if there is one, and otherwise the close."""
+        response = self._reader.feed_eof()
+        if response is None or self.owner is None:
+            return self.on_peer_closed()
+        self.closed, self.is_in_sync = True, False
+        self.owner.on_response(response)
+
     def on_peer_closed(self) -> None:
         """Report the close to the owner; without an owner, discard the connection."""
         self.closed = True
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import socket
+import struct
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -173,6 +174,14 @@
         """
         self.writer.transport.abort()
 
+    def reset_in_kernel(self) -> None:
+        """Close the connection with a reset, even if no bytes are unread."""
+        linger_for_no_time = struct.pack("ii", 1, 0)
+        self.writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger_for_no_time
+        )
+        self.writer.transport.abort()
+
     def shut_down_socket(self) -> None:
         """Close the connection in the kernel immediately, without an iteration of the event loop."""
         self.writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
