Take a list of discovery without a length if its connection ends in order

Change: DiscoveryConnection.on_eof ends the call with the response that an orderly close completes. After a reset the call fails as before. The next call opens a new connection.

Test: test_a_list_without_a_length_is_taken_if_and_only_if_the_close_is_orderly; its case of the orderly close fails without the change.

--- a/nickelmount/agent/discovery_connection.py
+++ b/nickelmount/agent/discovery_connection.py
@@ -12,7 +12,7 @@
 from nickelmount.protocol.http_names import DISCOVERY_HOST
 
 from .connection import Connection
-from .http import HttpReader, encode_request
+from .http import HttpMessage, HttpReader, encode_request
 
 MAX_RESPONSE_BODY_BYTES = 4 * 1024 * 1024
 
@@ -51,10 +51,15 @@
             # The response is valid, but no response to a further call can be read from this connection, so
             # that the next call has to open a new one.
             self.closed = self.discards_input = True
-        if response.status == 200:
-            self._end_call(bytes(response.body))
-        else:
-            self._end_call(DiscoveryError(f"response has status {response.status}, expected 200"))
+        self._end_call_with_response(response)
+
+    def on_eof(self) -> None:
+        """End the call in flight with the response that the close completes, or fail it if there is none."""
+        response = self._reader.feed_eof()
+        if response is None:
+            return self.on_peer_closed()
+        self.closed = self.discards_input = True
+        self._end_call_with_response(response)
 
     def on_handler_error(self) -> None:
         """Fail the call in flight because of a bug in this program."""
@@ -64,6 +69,12 @@
         """Fail the call in flight because the connection has ended."""
         self._fail(DiscoveryError("discovery closed or reset the connection"))
 
+    def _end_call_with_response(self, response: HttpMessage) -> None:
+        if response.status == 200:
+            self._end_call(bytes(response.body))
+        else:
+            self._end_call(DiscoveryError(f"response has status {response.status}, expected 200"))
+
     def _fail(self, error: DiscoveryError) -> None:
         self.closed = self.discards_input = True
         self._end_call(error)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -113,6 +113,26 @@
         assert setup.reports.empty()
 
 
+@pytest.mark.parametrize("is_reset", [False, True])
+@async_test()
+async def test_a_list_without_a_length_is_taken_if_and_only_if_the_close_is_orderly(is_reset: bool) -> None:
+    """A list whose end is the end of the connection was dropped, so that the agent never learned of a change.
+
+    A reset is no end, because the list may have been truncated.
+    """
+    async with running_watch() as setup:
+        call = await setup.next_call()
+        await call.connection.write(b"HTTP/1.1 200 OK\r\n\r\n" + list_body(42, [VALID_ENTRY]))
+        if is_reset:
+            call.connection.reset_in_kernel()
+            assert await setup.reports.get() is None
+            return
+        call.connection.close()
+        assert (await setup.next_list()).revision == 42
+        assert "index=42&" in (await setup.next_call()).start_line
+        assert setup.discovery.connection_count == 2
+
+
 @async_test()
 async def test_a_connection_that_discovery_closes_is_replaced() -> None:
     async with running_watch() as setup:
