Reject a body whose transfer coding is not chunks alone

What callers would see: a response with "Transfer-Encoding: gzip, chunked" was served as 200 with the coded bytes and without the field that names the coding, and a request in this form was forwarded in the same way. A response with a coding that is not chunked at all ended only with its timeout.

Cause: llhttp decodes chunks and leaves any coding below them to its caller, which did not look at it.

Change: HttpReader accepts a transfer coding only if it is "chunked" alone and the field is not repeated. A request gets 400, a response is unusable at the end of its head.

Tests: three of the four new cases of test_outcome_after_the_last_byte_is_written and the case "coded chunks" of test_invalid_input_is_answered_and_not_forwarded fail without the change (200 with the coded body twice, a timeout, and a request that was accepted); 156 pass with it.

--- a/nickelmount/agent/http.py
+++ b/nickelmount/agent/http.py
@@ -21,6 +21,7 @@
 
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
+CHUNKED = b"chunked"  # The value of Transfer-Encoding for a body in chunks without any other coding.
 SUPPORTED_VERSIONS = ("1.1", "1.0")
 STATUSES_WITHOUT_BODY = (204, 304)  # A response with a status of 1xx has no body either.
 HEADER_LINE_OVERHEAD_BYTES = 4  # A header line consists of its name, ": ", its value and CR LF.
@@ -201,6 +202,8 @@
         self.has_read_head = True
         if parser.get_http_version() not in SUPPORTED_VERSIONS:
             self._fail(400, "unknown version of HTTP")
+        if not _has_known_transfer_coding(message):
+            self._fail(400, "unsupported transfer coding")
         if isinstance(parser, HttpRequestParser):
             message.method = parser.get_method()
         else:
@@ -286,6 +289,17 @@
     return 100 <= message.status < 200
 
 
+def _has_known_transfer_coding(message: HttpMessage) -> bool:
+    """Whether the parser decodes the transfer coding of a message, if it has one.
+
+    The parser decodes chunks alone. A body with another coding below them would be passed on as it was coded,
+    without the header field that says so.
+    """
+    if TRANSFER_ENCODING in message.repeated_headers:
+        return False
+    return message.headers.get(TRANSFER_ENCODING, CHUNKED).strip().lower() == CHUNKED
+
+
 def _ends_with_connection(message: HttpMessage) -> bool:
     """Whether a message is a response whose body ends only with the connection.
 
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -77,6 +77,7 @@
         400,
     ),
     "unknown coding": (post(drop=("Content-Length",), body=b"", Transfer_Encoding="gzip"), 400),
+    "coded chunks": (CHUNKED.replace(b"chunked", b"gzip, chunked") + b"4\r\nzzzz\r\n0\r\n\r\n", 400),
     "bad chunk": (CHUNKED + b"zz\r\n", 400),
 }
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -24,6 +24,7 @@
 LONG_US = 600_000_000  # A time limit that no test reaches, because async_test ends each test before.
 REQUEST = UpstreamRequest(b"POST", b"/api", [(b"Request-Id", b"1")], b"job")
 OK = b"HTTP/1.1 200 OK\r\n"
+GZIP_THEN_CHUNKED_FIELDS = b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"
 
 
 class ManualClock(Clock):
@@ -152,6 +153,10 @@
             write_raw(OK + b"Transfer-Encoding: chunked\r\n\r\n111700\r\n" + b"x" * 1_100_000),
             Outcome.ERROR,
         ),
+        (write_raw(OK + b"Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nzzzz\r\n0\r\n\r\n"), Outcome.ERROR),
+        (write_raw(OK + GZIP_THEN_CHUNKED_FIELDS + b"\r\n4\r\nzzzz\r\n0\r\n\r\n"), Outcome.ERROR),
+        (write_raw(OK + b"Transfer-Encoding: gzip\r\n\r\nzzzz"), Outcome.ERROR),
+        (write_raw(OK + b"Transfer-Encoding: Chunked \r\n\r\n0\r\n\r\n"), Outcome.OK),
         (write_raw(OK + b"\r\n" + b"x" * 1_100_000), Outcome.ERROR),
         (write_and_close(OK + b"\r\nwhole"), Outcome.OK),
         (write_and_close(OK + b"Connection: close\r\n\r\nwhole"), Outcome.OK),
