--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -21,6 +21,7 @@
 from nickelmount.protocol.address import Address
 from tests.async_test import async_test
 from tests.loopback import (
+    NOT_IDEMPOTENT,
     LoopbackSetup,
     Message,
     ScriptedServer,
@@ -174,6 +175,43 @@
     return any(client.state.value == "reading" for client in setup.listener.connections)
 
 
+# Complete requests
+
+
+async def answer(message: Message, client: StreamConnection) -> None:
+    await message.answer(200, PARTIAL_BODY)
+    assert (await client.read()).body == PARTIAL_BODY
+
+
+async def reset_by_endpoint(message: Message, client: StreamConnection) -> None:
+    await message.connection.write(PARTIAL_RESPONSE)
+    message.connection.reset_in_kernel()
+    assert (await client.read()).status == 502
+
+
+async def disconnect_in_flight(message: Message, client: StreamConnection) -> None:
+    await message.connection.write(PARTIAL_RESPONSE)
+    client.close()
+    await message.connection.wait_for_close()
+
+
+@pytest.mark.parametrize("request_ends", [answer, reset_by_endpoint, disconnect_in_flight])
+@async_test()
+async def test_a_request_that_has_ended_leaves_nothing_in_memory(
+    tmp_path: Path, request_ends: Callable[[Message, StreamConnection], Awaitable[None]]
+) -> None:
+    # With many endpoints, those that reset are ejected and enough others stay.
+    async with loopback_setup(tmp_path, endpoints=2 * REPEATS) as setup:
+        with memory_of_agent() as allocated_bytes:
+            for number in range(REPEATS):
+                request = post(NOT_IDEMPOTENT, body=PARTIAL_BODY, Request_Id=f"{number}")
+                client = await setup.send_request(request)
+                await request_ends(await setup.next_request(), client)
+                client.close()
+                await wait_until(lambda: not setup.listener.connections)
+            assert allocated_bytes() < len(PARTIAL_BODY)
+
+
 # Responses of discovery
 
 
