--- a/tests/agent_process.py
+++ b/tests/agent_process.py
@@ -65,6 +65,11 @@
         self.process.send_signal(signal.SIGTERM)
         assert await self.process.wait() == 0
 
+    def private_memory_mb(self) -> float:
+        """Return the private memory (RssAnon) of the process in MB of 2^20 bytes."""
+        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        return int(next(line.split()[1] for line in lines if line.startswith("RssAnon:"))) / 1024
+
     def kill(self) -> None:
         """Kill the process if it is still running."""
         if self._process is not None and self._process.returncode is None:
--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -235,12 +235,6 @@
 # The process
 
 
-def private_memory_mb(pid: int) -> float:
-    """Return the private memory (RssAnon) of a process in MB of 2^20 bytes."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    return int(next(line.split()[1] for line in status.splitlines() if line.startswith("RssAnon:"))) / 1024
-
-
 @async_test()
 async def test_an_agent_stays_under_its_memory_limit_while_large_responses_arrive_together(
     tmp_path: Path,
@@ -268,7 +262,7 @@
             while not all(task.done() for task in calls):
                 while not endpoint.requests.empty():
                     responses.append(asyncio.create_task(respond_partway(endpoint.requests.get_nowait())))
-                most_mb = max(most_mb, private_memory_mb(agent.process.pid))
+                most_mb = max(most_mb, agent.private_memory_mb())
                 await asyncio.sleep(0.001)
             await asyncio.gather(*calls)
             await asyncio.gather(*responses, return_exceptions=True)
