Split reading, writing and the message of HTTP into modules of their own

agent/http.py held the reader with its limits, the encoders and the message that both sides use. They are now http_reader.py, http_encoding.py and http_message.py; nothing else changes.

--- a/nickelmount/agent/agent.py
+++ b/nickelmount/agent/agent.py
@@ -57,7 +57,7 @@
 
 from .clock import Clock
 from .discovery_client import DiscoveryClient
-from .http import Headers
+from .http_encoding import Headers
 from .request_validation import ClientRequest
 from .upstream import Upstream
 from .upstream_exchange import Exchange, ExchangeResult, UpstreamRequest
--- a/nickelmount/agent/connection_pool.py
+++ b/nickelmount/agent/connection_pool.py
@@ -18,7 +18,8 @@
 from .buffer_budget import BufferBudget
 from .clock import Clock
 from .connection import Connection
-from .http import HttpMessage, HttpReader
+from .http_message import HttpMessage
+from .http_reader import HttpReader
 
 # The agent closes an idle connection after this share of the endpoints' idle timeout. If the endpoint closed
 # it first, a request could be sent while that close is on its way, and it would be unknown whether the
--- a/nickelmount/agent/discovery_connection.py
+++ b/nickelmount/agent/discovery_connection.py
@@ -12,7 +12,9 @@
 from nickelmount.protocol.http_names import DISCOVERY_HOST
 
 from .connection import Connection
-from .http import HttpMessage, HttpReader, encode_request
+from .http_encoding import encode_request
+from .http_message import HttpMessage
+from .http_reader import HttpReader
 
 MAX_RESPONSE_BODY_BYTES = 4 * 1024 * 1024
 
--- a/nickelmount/agent/downstream.py
+++ b/nickelmount/agent/downstream.py
@@ -42,7 +42,9 @@
 
 from .buffer_budget import BufferBudget
 from .connection import Connection
-from .http import Headers, HttpMessage, HttpReader, encode_response
+from .http_encoding import Headers, encode_response
+from .http_message import HttpMessage
+from .http_reader import HttpReader
 from .request_validation import ClientRequest, RequestValidator
 
 MAX_BODY_BYTES = 64 * 1024  # Limit on the body of a request.
--- a/nickelmount/agent/http.py
+++ b/nickelmount/agent/http_reader.py
@@ -1,20 +1,20 @@
-"""HTTP/1.1 messages: a reader that limits their size, and encoders for messages that are sent.
+"""A reader of HTTP/1.1 messages that limits their size.
 
 The reader serves both directions: requests of clients, and responses of endpoints and of discovery. The
 syntax of a message (characters, lengths, Content-Length together with Transfer-Encoding) is checked by
-llhttp, through httptools; its size is checked here.
+llhttp, through httptools; its size and its transfer coding are checked here.
 """
 
 from __future__ import annotations
 
 import weakref
-from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser, HttpResponseParser
 
 from nickelmount.errors import HttpError
 
+from .http_message import HttpMessage
+
 # Limit on a head (the request or status line and the header fields), on a chunk header and on a trailer.
 MAX_HEAD_BYTES = 32 * 1024
 MAX_INTERIM_RESPONSES = 16  # Limit on the responses with a status of 1xx that precede a final response.
@@ -27,50 +27,6 @@
 HEADER_LINE_OVERHEAD_BYTES = 4  # A header line consists of its name, ": ", its value and CR LF.
 HEADER_OBJECT_BYTES = 128  # Memory of two bytes objects and their dict entry, without the text itself.
 
-Headers = list[tuple[str, str]]
-REASON_PHRASES = {
-    100: "Continue",
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    408: "Request Timeout",
-    409: "Conflict",
-    413: "Content Too Large",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-}
-
-
-@dataclass(slots=True, eq=False)
-class HttpMessage:
-    """A request or a response that was read, or that is being read."""
-
-    method: bytes = b""  # Method of a request; empty for a response.
-    target: bytes = b""  # Path and query of a request; empty for a response.
-    status: int = 0  # Status of a response; 0 for a request.
-    # Value of each header field by its name in lower case. If a name is repeated, its first value is kept.
-    headers: dict[bytes, bytes] = field(default_factory=dict)
-    repeated_headers: set[bytes] = field(default_factory=set)  # Names of headers that occur more than once.
-    body: bytearray = field(default_factory=bytearray)  # The body after its transfer coding was decoded.
-    keep_alive: bool = False  # The sender allows another message on the connection.
-    head_memory_bytes: int = 0  # The memory that the target and the header fields take, approximately.
-
-    @property
-    def memory_bytes(self) -> int:
-        """The memory that the message takes, approximately."""
-        return self.head_memory_bytes + len(self.body)
-
-    def take_body(self) -> bytes:
-        """Return the body, and keep it no longer."""
-        body, self.body = bytes(self.body), bytearray()
-        return body
-
-    def header(self, name: bytes) -> str | None:
-        """Return the first value of a header field, or None if it is absent; `name` is in lower case."""
-        value = self.headers.get(name)
-        return None if value is None else value.decode("latin-1")
-
 
 class HttpReader:
     """A reader that turns bytes into complete messages; after an error it reads nothing more.
@@ -308,21 +264,3 @@
     if message.status < 200 or message.status in STATUSES_WITHOUT_BODY:
         return False
     return message.headers.keys().isdisjoint((CONTENT_LENGTH, TRANSFER_ENCODING))
-
-
-def encode_request(
-    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b""
-) -> bytes:
-    """Return the bytes of a request, with Content-Length added unless it is a GET without a body."""
-    lines = [b"%s %s HTTP/1.1" % (method, target), *(b"%s: %s" % header for header in headers)]
-    if body or method != b"GET":
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
-
-
-def encode_response(status: int, headers: Headers, body: bytes, omit_body: bool = False) -> bytes:
-    """Return the bytes of a response, with Content-Length added; `omit_body` is for the response to HEAD."""
-    fields = "".join(f"{name}: {value}\r\n" for name, value in headers)
-    reason = REASON_PHRASES.get(status, "")
-    head = f"HTTP/1.1 {status} {reason}\r\n{fields}Content-Length: {len(body)}\r\n\r\n"
-    return head.encode("latin-1") + (b"" if omit_body else body)
--- a/nickelmount/agent/request_validation.py
+++ b/nickelmount/agent/request_validation.py
@@ -25,7 +25,8 @@
 from nickelmount.errors import HttpError
 from nickelmount.protocol import http_names
 
-from .http import Headers, HttpMessage
+from .http_encoding import Headers
+from .http_message import HttpMessage
 
 MAX_TIMEOUT_MS = 24 * 3600 * 1000
 MAX_NUMBER_DIGITS = 9
--- a/nickelmount/agent/upstream_exchange.py
+++ b/nickelmount/agent/upstream_exchange.py
@@ -17,7 +17,8 @@
 
 from .clock import Clock
 from .connection_pool import ConnectionPool, PooledConnection
-from .http import HttpMessage, encode_request
+from .http_encoding import encode_request
+from .http_message import HttpMessage
 
 log = logging.getLogger(__name__)
 
--- a/nickelmount/fleet/emulated_discovery.py
+++ b/nickelmount/fleet/emulated_discovery.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-from nickelmount.agent.http import HttpMessage, encode_response
+from nickelmount.agent.http_encoding import encode_response
+from nickelmount.agent.http_message import HttpMessage
 from nickelmount.errors import HttpError
 
 from .discovery_messages import (
--- a/nickelmount/fleet/list_calls.py
+++ b/nickelmount/fleet/list_calls.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from nickelmount.agent.http import HttpMessage
+from nickelmount.agent.http_message import HttpMessage
 from nickelmount.errors import HttpError
 from nickelmount.protocol.http_names import ENDPOINT_LIST_PATH
 
--- a/nickelmount/fleet/request_tracker.py
+++ b/nickelmount/fleet/request_tracker.py
@@ -7,7 +7,7 @@
 from random import Random
 from time import monotonic_ns
 
-from nickelmount.agent.http import encode_request
+from nickelmount.agent.http_encoding import encode_request
 
 from .load_connections import LoadConnectionPool, LoadRequest
 from .request_statistics import PATHS, PathStatistics, RequestOutcome, RequestPath
--- a/nickelmount/fleet/watch_connection.py
+++ b/nickelmount/fleet/watch_connection.py
@@ -11,7 +11,8 @@
 from httptools import HttpRequestParser
 
 from nickelmount.agent.connection import Connection
-from nickelmount.agent.http import HttpMessage, HttpReader
+from nickelmount.agent.http_message import HttpMessage
+from nickelmount.agent.http_reader import HttpReader
 from nickelmount.errors import HttpError
 
 from .list_calls import ListCall
