Look at ejections and restarts again when a request has waited for probes

Seen: requests that wait for the answer of a probe were sent to the probed endpoint although the list had said meanwhile that it had restarted, or attempts there had ejected it.

Cause: Balancer._compare checked the retry rules and admission again after the wait, but neither slow start nor outlier detection, which had admitted the samples when they were drawn.

Change: Sampler.still_accepts asks outlier detection again, and slow start only if another process runs at the endpoint than when it was drawn: it admits some requests by a new random number each time, so that asking twice would lower the share of a warming endpoint. A sample that is refused is drawn anew, as when admission refuses it.

--- a/nickelmount/balancer/balancer.py
+++ b/nickelmount/balancer/balancer.py
@@ -299,9 +299,10 @@
     def _compare(self, request: Request) -> None:
         """Send the request to the less loaded of its samples, or draw again if neither can be used any more.
 
-        If one sample has not answered its probe, only the other one can get the attempt. If neither has, the
-        load table decides. After request.max_probed_pairs pairs no others are drawn, and the request waits or
-        gets its final answer.
+        While the request waited for probes, a sample may have been ejected, or may have restarted, so that
+        slow start has to admit the request anew. If one sample has not answered its probe, only the other one
+        can get the attempt. If neither has, the load table decides. After request.max_probed_pairs pairs no
+        others are drawn, and the request waits or gets its final answer.
         """
         assert request.candidates is not None
         pair = request.candidates
@@ -312,9 +313,10 @@
         request.candidates, request.unanswered_probes = None, []
         eligible = [
             endpoint
-            for endpoint in pair
+            for endpoint, start_us in zip(pair, request.candidate_starts_us, strict=True)
             if self.retry.allows(request, endpoint, now_us)
             and endpoint not in unanswered
+            and self.sampler.still_accepts(request, endpoint, start_us, now_us)
             and admission.is_worth_sampling(request, endpoint, time_limit_us, time_to_objective_us, now_us)
         ]
         if eligible and admission.time_left_us(request, now_us) > 0:
--- a/nickelmount/balancer/probing.py
+++ b/nickelmount/balancer/probing.py
@@ -39,6 +39,7 @@
         and has not ended. The request needs to wait only if request.unanswered_probes is not empty.
         """
         request.candidates = pair
+        request.candidate_starts_us = (pair[0].started_at_us, pair[1].started_at_us)
         request.unanswered_probes = []
         if self.is_enabled:
             request.unanswered_probes = [
--- a/nickelmount/balancer/request.py
+++ b/nickelmount/balancer/request.py
@@ -56,6 +56,7 @@
     __slots__ = (
         "attempted_endpoints",
         "attempts_sent",
+        "candidate_starts_us",
         "candidates",
         "deadline_at_us",
         "draws",
@@ -98,6 +99,7 @@
         self.attempted_endpoints: list[TrackedEndpoint] = []
         # The following fields belong to probing.py.
         self.candidates: tuple[TrackedEndpoint, TrackedEndpoint] | None = None  # The samples to be compared.
+        self.candidate_starts_us = (0, 0)  # The start times of the candidates when they were drawn.
         self.unanswered_probes: list[TrackedEndpoint] = []  # The candidates whose load is not known yet.
         self.probed_pair_count = 0
         self.max_probed_pairs = max_probed_pairs
--- a/nickelmount/balancer/sampling.py
+++ b/nickelmount/balancer/sampling.py
@@ -92,6 +92,19 @@
             endpoint, request.draws.slow_start, rules.is_probed, table, now_us
         ) and rules.outliers.admits(endpoint, now_us, table.typical_latency_us)
 
+    def still_accepts(
+        self, request: Request, endpoint: TrackedEndpoint, drawn_start_us: int, now_us: int
+    ) -> bool:
+        """Return whether an endpoint that was accepted when it was drawn for a request is accepted now.
+
+        `drawn_start_us` is its start time when it was drawn. Slow start is asked again only if another
+        process runs there now, because it admits some requests by a new random number each time: if it was
+        asked twice, a warming endpoint would get a smaller share.
+        """
+        if endpoint.started_at_us != drawn_start_us:
+            return self.accepts(request, endpoint, now_us)
+        return self._rules.outliers.admits(endpoint, now_us, self._table.typical_latency_us)
+
     def _is_silent(self, request: Request, endpoint: TrackedEndpoint, now_us: int) -> bool:
         """Return whether an endpoint seems to have stopped answering, by the time since its last load report.
 
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from dataclasses import replace
+from math import sqrt
 from typing import Any
 
 from nickelmount.balancer.actions import SendAttempt, SendProbe
-from nickelmount.balancer.events import Outcome, ProbeEnded
+from nickelmount.balancer.events import EndpointId, EndpointsChanged, ListUpdateKind, Outcome, ProbeEnded
 from nickelmount.balancer.settings import Prices
 
 from .balancer_driver import MS, SECOND, BalancerDriver, of_type
@@ -67,3 +70,51 @@
     _, actions = driver.request()
     assert of_type(actions, SendAttempt)
     assert not of_type(actions, SendProbe)
+
+
+def sent_after_probes(driver: BalancerDriver, probed: set[EndpointId]) -> list[SendAttempt]:
+    """Answer probes with a load of 0, and return the attempts that are sent then."""
+    sends: list[SendAttempt] = []
+    for endpoint_id in sorted(probed):
+        sends += of_type(driver.event(ProbeEnded(endpoint_id, Outcome.OK, MS, (0.0,))), SendAttempt)
+    return sends
+
+
+def test_requests_that_wait_for_a_probe_do_not_overload_an_endpoint_that_has_restarted() -> None:
+    # Requests wait for the probe of the only endpoint. The list says that it has restarted, and then the
+    # probe ends with a load of 0. All requests were sent to the endpoint at once, although slow start admits
+    # only few of them.
+    start_capacity, seeds, waiting = 0.05, 20, 8
+    sent = 0
+    for seed in range(seeds):
+        driver = probing_driver(1, seed=seed, warm_up_start_capacity=start_capacity, warm_up_us=24 * SECOND)
+        (endpoint,) = driver.initial_endpoints
+        for _ in range(waiting):
+            driver.request()
+        restarted = replace(endpoint, started_at_us=driver.now)
+        driver.event(EndpointsChanged(ListUpdateKind.DELTA, [restarted]))
+        sent += len(sent_after_probes(driver, {endpoint.id}))
+    mean = start_capacity * seeds * waiting
+    assert sent <= mean + 3 * sqrt(mean)
+
+
+def test_requests_that_wait_for_a_probe_are_not_sent_to_an_endpoint_that_was_ejected() -> None:
+    # Requests wait for the probes of four endpoints. Meanwhile attempts at one of them fail until it is
+    # ejected, and then the probes end. Requests were sent to that endpoint all the same.
+    driver = probing_driver(4)
+    probed: set[EndpointId] = set()
+    for _ in range(8):
+        probed |= {probe.endpoint_id for probe in of_type(driver.request()[1], SendProbe)}
+    sends = sent_after_probes(driver, probed)
+    (target, _), *_ = Counter(send.endpoint_id for send in sends).most_common()
+    driver.advance(30 * MS)  # The loads are too old now.
+    probed = set()
+    for _ in range(8):
+        probed |= {probe.endpoint_id for probe in of_type(driver.request()[1], SendProbe)}
+    assert target in probed
+    for send in sends:
+        if send.endpoint_id == target:
+            driver.end_attempt(send, Outcome.CONNECT_FAILED)
+    after = sent_after_probes(driver, probed)
+    assert after
+    assert target not in {send.endpoint_id for send in after}
