--- a/nickelmount/agent/downstream.py
+++ b/nickelmount/agent/downstream.py
@@ -103,9 +103,8 @@
     is_draining: bool  # Every answer is the last one on its connection.
     is_rejecting: bool  # Requests that arrive are rejected.
     open_request_ids: set[bytes]  # Request-Id of each request that is in flight, on any connection.
-    buffer_budget: (
-        BufferBudget | None
-    )  # The limit on the memory of all messages; None means that there is none.
+    # The limit on the memory of all messages; None means that there is none.
+    buffer_budget: BufferBudget | None
 
     def connection_opened(self, client: ClientConnection) -> None:
         """Admit a new connection, or close it."""
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -75,7 +75,7 @@
 def sent_after_probes(driver: BalancerDriver, probed: set[EndpointId]) -> list[SendAttempt]:
     """Answer probes with a load of 0, and return the attempts that are sent then."""
     sends: list[SendAttempt] = []
-    for endpoint_id in sorted(probed):
+    for endpoint_id in sorted(probed, key=str):
         sends += of_type(driver.event(ProbeEnded(endpoint_id, Outcome.OK, MS, (0.0,))), SendAttempt)
     return sends
 
