Read messages and record buffers with less processor time

Cause: each callback of the parser went through a forwarding method with a weak reference, each header field was counted twice, and each read and write told the budget the size of the buffers anew.

Change: the callbacks are now a builder that holds the message itself and refers to the reader weakly, for the end of a head alone. The memory of a head is computed from sizes that were counted before. The budget is told a size only if it has changed, and the transport is not asked if all is written.

--- a/nickelmount/agent/connection.py
+++ b/nickelmount/agent/connection.py
@@ -28,6 +28,7 @@
     def __init__(self, budget: BufferBudget | None = None) -> None:
         """Create a connection whose buffers count against a budget, or against none."""
         self._budget = budget
+        self._budgeted_bytes = 0  # The size of the buffers that the budget was last told.
         self.transport: asyncio.Transport | None = None  # None until the connection is established.
         self.all_written = True  # Whether the kernel has taken every byte that was sent.
         # Whether nothing more may be sent: the connection was lost or was aborted on this side, or the
@@ -61,7 +62,9 @@
 
         This includes the bytes that were sent and that the kernel has not taken yet.
         """
-        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+        if self.all_written or self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
 
     @property
     def can_evict_buffers(self) -> bool:
@@ -200,5 +203,9 @@
 
     def _update_budget(self) -> None:
         """Record the present size of the buffers, which may end this connection or another one."""
-        if self._budget is not None:
-            self._budget.set_size(self, 0 if self.closed else self.buffered_bytes())
+        if self._budget is None:
+            return
+        size = 0 if self.closed else self.buffered_bytes()
+        if size != self._budgeted_bytes:
+            self._budgeted_bytes = size
+            self._budget.set_size(self, size)
--- a/nickelmount/agent/http_reader.py
+++ b/nickelmount/agent/http_reader.py
@@ -54,41 +54,54 @@
     def __init__(
         self, parser_type: type[HttpRequestParser] | type[HttpResponseParser], max_body_bytes: int
     ) -> None:
+        self._builder = _MessageBuilder(self, max_body_bytes)
         # The parser; None after an error, so that the part of a line that it has buffered is freed.
-        self._parser: HttpRequestParser | HttpResponseParser | None = parser_type(_ParserCallbacks(self))
-        self._max_body_bytes = max_body_bytes
-        self._completed: list[HttpMessage] = []  # Complete messages that `feed` has not returned yet.
-        self._head_bytes = 0  # Size of the target and of the complete header lines of the latest head.
-        # Number of bytes fed since the present message began, or since a byte of its body was last read.
-        self._unfinished_bytes = 0
-        self._total_body_bytes = 0  # Size of the bodies of all messages together.
-        self._interim_responses = 0  # Number of interim responses since the last final response.
-        self.incomplete: HttpMessage | None = None
-        self.has_read_head = False
-        self.error: HttpError | None = None
+        self._parser: HttpRequestParser | HttpResponseParser | None = parser_type(self._builder)
+
+    @property
+    def incomplete(self) -> HttpMessage | None:
+        """The message that has arrived only in part; None after an error."""
+        return self._builder.incomplete
+
+    @property
+    def has_read_head(self) -> bool:
+        """Whether the head of the latest message is complete."""
+        return self._builder.has_read_head
+
+    @property
+    def error(self) -> HttpError | None:
+        """The error that ended the reading."""
+        return self._builder.error
+
+    @property
+    def parser(self) -> HttpRequestParser | HttpResponseParser:
+        """The parser, which must not have been dropped."""
+        assert self._parser is not None
+        return self._parser
 
     @property
     def buffered_bytes(self) -> int:
         """The memory that the message that has arrived in part takes, approximately."""
-        return 0 if self.incomplete is None else self.incomplete.memory_bytes + self._unfinished_bytes
+        return 0 if self._builder.incomplete is None else self._builder.incomplete_memory_bytes()
 
     def stop(self) -> None:
         """Read nothing more, and free the message that has arrived in part."""
-        self.error = self.error or HttpError(400, "reading was stopped")
-        self._parser = self.incomplete = None
+        builder = self._builder
+        builder.error = builder.error or HttpError(400, "reading was stopped")
+        self._parser = builder.incomplete = None
 
     def feed(self, data: bytes) -> list[HttpMessage]:
         """Return the messages that these bytes complete; set `error` if the bytes after them are invalid."""
-        if self.error is not None:
+        builder = self._builder
+        if builder.error is not None:
             return []
-        body_bytes_before = self._total_body_bytes
+        body_bytes_before = builder.total_body_bytes
         self._parse(data)
-        if self.incomplete is not None:
-            self._limit_unfinished(len(data), body_grew=self._total_body_bytes != body_bytes_before)
-        if self.error is not None:
+        if builder.incomplete is not None:
+            builder.limit_unfinished(len(data), body_grew=builder.total_body_bytes != body_bytes_before)
+        if builder.error is not None:
             self.stop()
-        completed, self._completed = self._completed, []
-        return completed
+        return builder.take_completed()
 
     def feed_eof(self) -> HttpMessage | None:
         """Return the response that the end of the connection completes, or None if there is none.
@@ -102,18 +115,54 @@
         return response
 
     def _parse(self, data: bytes) -> None:
-        assert self._parser is not None
+        builder = self._builder
         try:
-            self._parser.feed_data(data)
+            self.parser.feed_data(data)
         except HttpParserUpgrade:
-            self.error = HttpError(400, "no other protocol is spoken here")
+            builder.error = HttpError(400, "no other protocol is spoken here")
             # The parser has already reported the request that asks for the upgrade as complete.
-            self._completed.clear()
+            builder.take_completed()
         except HttpParserError as error:
             # The parser converts an exception of a callback, such as _ReadingStopped, to this error.
-            self.error = self.error or HttpError(400, f"malformed message: {error}")
+            builder.error = builder.error or HttpError(400, f"malformed message: {error}")
+
+
+class _ReadingStopped(Exception):  # noqa: N818 - It stops the parser; the error is HttpReader.error.
+    """Raised in a callback of the parser to make it stop."""
+
+
+class _MessageBuilder:
+    """The callbacks of a parser, which build messages from its events and check their size.
+
+    A parser refers to its callbacks strongly for as long as it lives. Because these refer to the reader,
+    which owns the parser, only weakly, the reader and its parser do not keep each other alive.
+    """
+
+    def __init__(self, reader: HttpReader, max_body_bytes: int) -> None:
+        self._reader = weakref.ref(reader)
+        self._max_body_bytes = max_body_bytes
+        self._completed: list[HttpMessage] = []  # Complete messages that were not taken yet.
+        self._head_bytes = 0  # Size of the target and of the complete header lines of the latest head.
+        # Number of bytes fed since the present message began, or since a byte of its body was last read.
+        self._unfinished_bytes = 0
+        self._interim_responses = 0  # Number of interim responses since the last final response.
+        self.total_body_bytes = 0  # Size of the bodies of all messages together.
+        self.incomplete: HttpMessage | None = None
+        self.has_read_head = False
+        self.error: HttpError | None = None
+
+    def take_completed(self) -> list[HttpMessage]:
+        """Return the complete messages that were not taken yet."""
+        completed, self._completed = self._completed, []
+        return completed
+
+    def incomplete_memory_bytes(self) -> int:
+        """Return the memory that the message that has arrived in part takes, approximately."""
+        assert self.incomplete is not None
+        memory_bytes = self._unfinished_bytes + len(self.incomplete.body)
+        return memory_bytes + self._head_bytes + HEADER_OBJECT_BYTES * len(self.incomplete.headers)
 
-    def _limit_unfinished(self, size: int, body_grew: bool) -> None:
+    def limit_unfinished(self, size: int, body_grew: bool) -> None:
         """Limit the part of a line that the parser buffers.
 
         The parser buffers a header line, a chunk header or a trailer until the end of the line arrives, and
@@ -134,7 +183,6 @@
         """Append a part of the target of a request."""
         assert self.incomplete is not None
         self.incomplete.target += url
-        self.incomplete.head_memory_bytes += len(url)
         self._limit_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -143,7 +191,6 @@
             return
         assert self.incomplete is not None
         self._limit_head(len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES)
-        self.incomplete.head_memory_bytes += len(name) + len(value) + HEADER_OBJECT_BYTES
         name = name.lower()
         if name in self.incomplete.headers:
             self.incomplete.repeated_headers.add(name)
@@ -152,13 +199,15 @@
 
     def on_headers_complete(self) -> None:
         """Store the method or the status, and check the HTTP version and the stated length of the body."""
-        message, parser = self.incomplete, self._parser
+        message, reader = self.incomplete, self._reader()
         assert message is not None
-        assert parser is not None
+        assert reader is not None  # The parser is called by the reader alone.
+        parser = reader.parser
         self.has_read_head = True
+        message.head_memory_bytes = self._head_bytes + HEADER_OBJECT_BYTES * len(message.headers)
         if parser.get_http_version() not in SUPPORTED_VERSIONS:
             self._fail(400, "unknown version of HTTP")
-        if not _has_known_transfer_coding(message):
+        if TRANSFER_ENCODING in message.headers and not _is_chunked_alone(message):
             self._fail(400, "unsupported transfer coding")
         if isinstance(parser, HttpRequestParser):
             message.method = parser.get_method()
@@ -172,7 +221,7 @@
         """Append a part of the body."""
         assert self.incomplete is not None
         self.incomplete.body += body
-        self._total_body_bytes += len(body)
+        self.total_body_bytes += len(body)
         if len(self.incomplete.body) > self._max_body_bytes:
             self._fail(413, "body too large")
 
@@ -203,57 +252,19 @@
         raise _ReadingStopped
 
 
-class _ReadingStopped(Exception):  # noqa: N818 - It stops the parser; the error is HttpReader.error.
-    """Raised in a callback of the parser to make it stop."""
-
-
-class _ParserCallbacks:
-    """The callbacks of a parser, which pass each event to a reader.
-
-    A parser refers to its callbacks strongly for as long as it lives. Because these refer to the reader only
-    weakly, the reader and its parser do not keep each other alive.
-    """
-
-    def __init__(self, reader: HttpReader) -> None:
-        self._reader = weakref.ref(reader)
-
-    def _live_reader(self) -> HttpReader:
-        reader = self._reader()
-        assert reader is not None  # The parser is called by the reader alone.
-        return reader
-
-    def on_message_begin(self) -> None:
-        self._live_reader().on_message_begin()
-
-    def on_url(self, url: bytes) -> None:
-        self._live_reader().on_url(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._live_reader().on_header(name, value)
-
-    def on_headers_complete(self) -> None:
-        self._live_reader().on_headers_complete()
-
-    def on_body(self, body: bytes) -> None:
-        self._live_reader().on_body(body)
-
-    def on_message_complete(self) -> None:
-        self._live_reader().on_message_complete()
-
-
 def _is_interim(message: HttpMessage) -> bool:
     return 100 <= message.status < 200
 
 
-def _has_known_transfer_coding(message: HttpMessage) -> bool:
-    """Whether the parser decodes the transfer coding of a message, if it has one.
+def _is_chunked_alone(message: HttpMessage) -> bool:
+    """Whether the parser decodes the transfer coding of a message that has one.
 
     The parser decodes chunks alone. A body with another coding below them would be passed on as it was coded,
     without the header field that says so.
     """
     if TRANSFER_ENCODING in message.repeated_headers:
         return False
-    return message.headers.get(TRANSFER_ENCODING, CHUNKED).strip().lower() == CHUNKED
+    return message.headers[TRANSFER_ENCODING].strip().lower() == CHUNKED
 
 
 def _ends_with_connection(message: HttpMessage) -> bool:
