review: drop the second-answer case, move the flood to case 6

review/2 shows the same fault as the dropped case (a second answer after 12 ms), so it goes. The stand-ins take a port below those that the system picks for connections: a case of the first review, run beside others, once lost an agent at its start.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Case 6: after a map server has sent an answer twice, orders run twice and clients get foreign answers."""
+"""Case 6: requests of the application are lost while bad clients send much at once and go."""
 
 from __future__ import annotations
 
@@ -11,83 +11,62 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from peers import (  # noqa: E402
-    AgentProcess,
-    Client,
-    Discovery,
-    Handler,
-    MapServer,
-    Received,
-    Stage,
-    run_case,
-    settings,
-)
+from peers import AgentProcess, Client, Discovery, MapServer, Received, Stage, run_case, settings  # noqa: E402
 
-SECOND_ANSWER_AFTER_S = 0.012
-SPOILT_SHARE = 0.2
-TURNED_AWAY_SHARE = 0.15  # The map servers' queues are full for these requests, with trouble or without.
-RUN_S = 60.0
-RATE_PER_S = 80.0
-TIMEOUT_MS = 2000
-UNSAFE = ("copy-order", "note-add")
+BAD_CLIENTS = 100
+WAVES_AT_S = (2.0, 6.0, 10.0)
+RUN_S = 14.0
+RATE_PER_S = 40.0
+TIMEOUT_MS = 300
+# The answer is due 0.5 s after the request's time at the latest; the rules on sockets add 50 ms.
+LATE_S = 0.55
 
 
-class Servers:
-    """What the map servers do, and which requests they have run."""
+async def serve(received: Received) -> None:
+    """Answer after 20 ms, like a map server without trouble."""
+    await asyncio.sleep(0.02)
+    received.write(200, received.body_for(), "Server-Load: inflight=1,queue=0,latency_ms=20")
 
-    def __init__(self, stage: Stage) -> None:
-        self.stage = stage
-        self.runs: dict[str, list[str]] = {}  # The servers that ran a request, by its id.
 
-    async def serve(self, received: Received) -> None:
-        """Run a request or turn it away, and send some of the answers twice."""
-        await asyncio.sleep(0.01)
-        if random.random() < TURNED_AWAY_SHARE:
-            status, body, header = 503, b"queue full", "Not-Started: 1"
-        else:
-            self.runs.setdefault(received.request_id, []).append(received.server.name)
-            status, body, header = 200, received.body_for(), "Server-Load: inflight=1,queue=0,latency_ms=10"
-        self.stage.record.write(f"{received.server.name} answers {received.request_id} with {status}")
-        received.write(status, body, header)
-        if self.stage.trouble and random.random() < SPOILT_SHARE:
-            asyncio.get_running_loop().call_later(
-                SECOND_ANSWER_AFTER_S, self._answer_again, received, status, body, header
-            )
-
-    def _answer_again(self, received: Received, status: int, body: bytes, header: str) -> None:
-        if not received.writer.is_closing():
-            self.stage.record.write(f"{received.server.name} answers {received.request_id} a second time")
-            received.write(status, body, header)
+async def flood(stage: Stage, port: int) -> None:
+    """Run the waves of bad clients, in a process of their own."""
+    started_at = time.monotonic()
+    for at_s in WAVES_AT_S:
+        await asyncio.sleep(max(0.0, started_at + at_s - time.monotonic()))
+        stage.record.write(f"{BAD_CLIENTS} bad clients send 288 kB each and go")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, str(HERE / "flood.py"), str(port), str(BAD_CLIENTS)
+        )
+        await process.wait()
 
 
 async def case(stage: Stage) -> list[str]:
-    """Send requests at a steady rate; check the bodies of all 200s, and how often each unsafe request ran."""
-    behaviour = Servers(stage)
-    handler: Handler = behaviour.serve
-    servers = [await MapServer(f"s-{i}", stage.record, handler).start() for i in range(9)]
+    """Send requests at a steady rate, and check that each gets its answer in time."""
+    servers = [await MapServer(f"s-{i}", stage.record, serve).start() for i in range(9)]
     discovery = await Discovery(stage.record, [server.entry() for server in servers]).start()
     agent = AgentProcess(stage.folder, stage.record, settings(), [server.entry() for server in servers])
     try:
         await agent.start(discovery)
         client = Client(agent.port, stage.record)
+        trouble = asyncio.create_task(flood(stage, agent.port)) if stage.trouble else None
         tasks = []
         end_at = time.monotonic() + RUN_S
         while time.monotonic() < end_at:
-            name = random.choice(["tile-read", *UNSAFE])
-            tasks.append(asyncio.create_task(client.request(name, TIMEOUT_MS)))
+            tasks.append(asyncio.create_task(client.request("tile-read", TIMEOUT_MS)))
             await asyncio.sleep(random.expovariate(RATE_PER_S))
         await asyncio.gather(*tasks)
+        if trouble is not None:
+            await trouble
     finally:
         code = agent.end()
+    assert len(client.sent) > RUN_S * RATE_PER_S / 2, "the clients could not keep their rate"
     breaches = [] if code is None else [f"the agent ended with {code}"]
     for sent in client.sent:
-        runs = behaviour.runs.get(sent.request_id, [])
-        if sent.request_class in UNSAFE and len(runs) > 1:
-            breaches.append(f"{sent.request_class} {sent.request_id} ran at {' and '.join(runs)}")
-        if sent.status == 200 and not sent.body.endswith(f" served {sent.request_id}".encode()):
-            breaches.append(f"{sent.request_class} {sent.request_id} got {sent.body!r}")
-        if sent.status in (429, 503) and sent.request_class in UNSAFE and runs:
-            breaches.append(f"{sent.request_class} {sent.request_id} was refused and had run at {runs[0]}")
+        late_s = sent.ended_at - sent.last_byte_at - sent.timeout_ms / 1000
+        if sent.status == 0:
+            breaches.append(f"{sent.request_id} got no answer: {sent.end}")
+        elif late_s > LATE_S:
+            breaches.append(f"{sent.request_id} got {sent.status} {late_s:.2f} s after its time")
     return breaches
 
 
--- a/review/peers.py
+++ b/review/peers.py
@@ -16,6 +16,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -302,10 +303,15 @@
 
 
 def free_port() -> int:
-    """Return a port of loopback that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port of loopback that is free now.
+
+    It is below the ports that the system picks for connections, so that nothing else takes it meanwhile.
+    """
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 class AgentProcess:
@@ -351,6 +357,7 @@
         async with asyncio.timeout(30):
             while not await self._is_ready():  # noqa: ASYNC110 - The other process sets no event.
                 await asyncio.sleep(0.02)
+        assert self.is_running(), "another process answers at the agent's address"
         self.record.write("the agent is ready")
 
     async def _is_ready(self) -> bool:
@@ -363,6 +370,10 @@
             return False
         return b" 200 " in line
 
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self.process is not None
@@ -508,7 +519,7 @@
             try:
                 async with asyncio.timeout(110):
                     breaches = await case(Stage(record, Path(temporary), trouble))
-            except (OSError, AssertionError, TimeoutError) as error:
+            except Exception as error:  # Whatever keeps a case from running is no breach.
                 record.write(f"NOT RUN: {type(error).__name__} {error}")
                 print(f"not run: {type(error).__name__} {error}")
                 return NOT_RUN
@@ -525,4 +536,5 @@
 
 def run_case(case: Callable[[Stage], Awaitable[list[str]]], folder: Path) -> int:
     """Run a case, write its record into the folder, and return the exit code of its script."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # The agent is ended on the way out.
     return asyncio.run(_run(case, folder))
