Reject requests that have arrived in part when a shutdown ends

Cause: Listener.shut_down answered the requests in flight and closed the listening socket at the end of its time. It left connections in state READING as they were, and new ones with unread bytes too. The sockets stay open until the interpreter has ended, so that the kernel took bytes that nobody read.

Without the change four of the five new tests fail (the fifth passes in one process, whose event loop goes on after the shutdown).

Change: when the agent begins to reject, it also rejects what has arrived in part, and each part that arrives later. The answer reaches the client before the process ends, whatever the client sends behind it. After the listening socket is closed, every connection without a last answer is ended: with 503 if it has unread bytes, with a close otherwise.

--- a/nickelmount/agent/downstream.py
+++ b/nickelmount/agent/downstream.py
@@ -15,7 +15,7 @@
                        IN_FLIGHT -> LINGERING  the client asked for a close, it sent a pipelined request,
                                                or the agent is draining
     IDLE, READING -> LINGERING                 the input is malformed or too large, two requests arrive in
-                                               one piece, or READING took too long
+                                               one piece, READING took too long, or a shutdown ends
     any -> LINGERING                           the agent could not handle the input because of a fault
     any -> closed                              the client or the agent closes the connection
 
@@ -199,6 +199,24 @@
         elif self.has_nothing_to_read():
             self.close()
 
+    def reject_incomplete(self) -> None:
+        """Reject a request that has arrived in part, so that its client does not write the rest."""
+        if self._reader.incomplete is not None:
+            self._send_error(_shutdown_error())
+
+    def end(self) -> None:
+        """Let no further request come: reject one that is incomplete or unread, or close the connection.
+
+        A request in flight must have been answered. A connection that has its last answer stays open, because
+        its client may not have read it yet.
+        """
+        if self.is_lingering or not self.all_written:
+            return
+        if self.has_nothing_to_read() and self._reader.incomplete is None:
+            self.abort()
+        else:
+            self._send_error(_shutdown_error())
+
     # Methods that asyncio and Connection call
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -274,7 +292,10 @@
             # The limit of the first request counts from the opening of the connection.
             if was_idle and self.has_answered:
                 self.timer_started_at = self._now()
-            self._send_continue_if_expected(incomplete)
+            if self._host.is_rejecting:
+                self.reject_incomplete()
+            else:
+                self._send_continue_if_expected(incomplete)
 
     def _send_continue_if_expected(self, message: HttpMessage) -> None:
         """Send 100 Continue once for a request whose client sends the body only after this response."""
@@ -378,5 +399,9 @@
     return HttpError(400, "one request at a time")
 
 
+def _shutdown_error() -> HttpError:
+    return HttpError(503, "shutting down")
+
+
 def _error_body(error: HttpError) -> bytes:
     return f"{error}\n".encode()
--- a/nickelmount/agent/listener.py
+++ b/nickelmount/agent/listener.py
@@ -186,9 +186,12 @@
            closes the connection, the client sends it again on a new connection.
         3. Close each connection that becomes idle, until no connection is open or in the accept queue, or
            until `finish_by_s`.
-        4. Reject requests that arrive, answer those in flight, and give clients time to read the answers.
-        5. Stop listening. This is the last step because closing the listening socket resets connections that
+        4. Reject requests that arrive or have arrived in part, answer those in flight, and give clients time
+           to read the answers.
+        5. Stop listening. This comes so late because closing the listening socket resets connections that
            the kernel has established and the agent has not accepted.
+        6. End every connection. The sockets stay open until the process has ended, and a request that the
+           kernel took meanwhile would get no answer.
         """
         started_at = self._loop.time()
         self.is_draining = True
@@ -202,9 +205,13 @@
 
         self.is_rejecting = True
         self.handler.answer_all_pending()
+        for client in list(self.connections):
+            client.reject_incomplete()
         await self._close_until_empty(finish_at + FLUSH_TIMEOUT_S, FLUSH_POLL_INTERVAL_S)
 
         self.close()
+        for client in list(self.connections):
+            client.end()
 
     async def _close_until_empty(self, deadline: float, poll_interval_s: float) -> None:
         """Close each connection that becomes idle, until none is left or until the deadline.
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -17,7 +17,7 @@
 from nickelmount.protocol.endpoint_list import EndpointList
 from tests.agent_process import agent_process, complete_list_body, started_peers
 from tests.async_test import async_test
-from tests.event_order import BlockingClient, wait_for_accepted
+from tests.event_order import BlockingClient, wait_for_accepted, wait_until_readable
 from tests.loopback import NOT_IDEMPOTENT, StreamConnection, config_doc, loopback_setup, member, post
 
 CLOSE_IDLE_AT_ONCE = ShutdownTimes(close_idle_after_s=0.0, serve_until_s=0.0, finish_by_s=30.0)
@@ -86,6 +86,85 @@
         clients[0].close()
 
 
+# Requests that have arrived in part
+
+SHUTDOWN_WITHOUT_GRACE = ShutdownTimes(close_idle_after_s=0.0, serve_until_s=0.0, finish_by_s=0.05)
+
+
+def has_rejection(received: bytes) -> bool:
+    return received.startswith(b"HTTP/1.1 503 ") and b"\r\nConnection: close\r\n" in received
+
+
+@async_test()
+async def test_a_request_that_has_arrived_in_part_is_rejected_as_a_shutdown_ends(tmp_path: Path) -> None:
+    # A request whose last byte came as the process ended was reset without an answer.
+    async with loopback_setup(tmp_path) as setup:
+        clients = []
+        for number in range(3):
+            client = await BlockingClient(setup).accepted()
+            client.socket.send(post(Request_Id=f"{number}")[:-1])
+            clients.append(client.socket)
+        await setup.listener.shut_down(SHUTDOWN_WITHOUT_GRACE)
+        for client_socket in clients:  # The last byte has not come.
+            async with asyncio.timeout(5):
+                assert has_rejection(await read_all(client_socket))
+            client_socket.close()
+        assert setup.nothing_sent()
+
+
+@async_test()
+async def test_a_request_that_arrives_in_part_while_a_shutdown_ends_is_rejected_at_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A request that began in the last stage of a shutdown, and never ended, held its connection to the end.
+    monkeypatch.setattr(listener_module, "FLUSH_TIMEOUT_S", 30.0)
+    async with loopback_setup(tmp_path) as setup:
+        answer_all_pending, clients = setup.agent.answer_all_pending, list[socket.socket]()
+
+        def answer_all_then_connect() -> None:
+            answer_all_pending()
+            clients.append(client := socket.create_connection(("127.0.0.1", setup.port)))
+            client.send(post()[:-1])
+
+        setup.agent.answer_all_pending = answer_all_then_connect  # type: ignore[method-assign]
+        shutdown = asyncio.create_task(setup.listener.shut_down(CLOSE_IDLE_AT_ONCE))
+        while not clients:
+            await asyncio.sleep(0)
+        async with asyncio.timeout(10):
+            assert has_rejection(await read_all(clients[0]))
+            clients[0].close()
+            await shutdown
+        assert setup.nothing_sent()
+
+
+@pytest.mark.parametrize("sent_bytes", [0, 20, None])
+@async_test()
+async def test_bytes_that_are_unread_when_a_shutdown_ends_get_an_answer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent_bytes: int | None
+) -> None:
+    # Bytes that the kernel took between the last read and the end of the process were reset.
+    monkeypatch.setattr(listener_module, "FIRST_REQUEST_GRACE_S", 30.0)
+    async with loopback_setup(tmp_path) as setup:
+        client = await BlockingClient(setup).accepted()
+        close = setup.listener.close
+
+        def close_then_receive() -> None:
+            monkeypatch.undo()  # The setup closes the listener again.
+            close()
+            client.socket.send(post()[:sent_bytes])
+            if sent_bytes != 0:
+                (connection,) = setup.listener.connections
+                wait_until_readable(connection)
+
+        monkeypatch.setattr(setup.listener, "close", close_then_receive)
+        await setup.listener.shut_down(SHUTDOWN_WITHOUT_GRACE)
+        async with asyncio.timeout(5):
+            received = await read_all(client.socket)
+        assert received == b"" if sent_bytes == 0 else has_rejection(received)
+        assert setup.nothing_sent()
+        client.socket.close()
+
+
 # Requests in flight
 
 
