Stop reading where a second message begins instead of parsing all of them

Cause: HttpReader gave the parser all of a read, up to 256 KB, and built every message in it: 14,000 for short requests, 59 ms for each read here. ClientConnection refused all but the first afterwards. One iteration of the event loop reads every connection, so that a hundred of them made it several seconds long.

Change: the parser is stopped where a second message begins, which is an error as it was before. feed returns one message or None. Responses are read in the same way, so that the beginning of a second response of discovery is no longer read as that of the next one (a point of README's list, with a test now).

--- a/nickelmount/agent/connection_pool.py
+++ b/nickelmount/agent/connection_pool.py
@@ -71,13 +71,11 @@
         if self.owner is None:
             # No request is in flight, and these bytes must not be read as the response to the next one.
             return self._pool.discard(self)
-        responses = self._reader.feed(data)
-        if responses:
-            has_excess_bytes = (
-                len(responses) > 1 or self._reader.incomplete is not None or self._reader.error is not None
-            )
-            self.is_in_sync = responses[0].keep_alive and not has_excess_bytes
-            self.owner.on_response(responses[0])
+        response = self._reader.feed(data)
+        if response is not None:
+            # An error means that bytes follow the response.
+            self.is_in_sync = response.keep_alive and self._reader.error is None
+            self.owner.on_response(response)
         elif self._reader.error is not None:
             self.is_in_sync = False
             self.owner.on_unusable_response()
--- a/nickelmount/agent/discovery_connection.py
+++ b/nickelmount/agent/discovery_connection.py
@@ -39,17 +39,16 @@
 
     def on_data(self, data: bytes) -> None:
         """Read bytes from discovery; end the call in flight if its response is complete or malformed."""
-        messages = self._reader.feed(data)
+        response = self._reader.feed(data)
         if self._body_future is None:
             # No call is in flight, and these bytes must not be read as the response to the next call.
             self._fail(DiscoveryError(str(self._reader.error or "received bytes without a call in flight")))
             return
-        if not messages:
+        if response is None:
             if self._reader.error is not None:
                 self._fail(DiscoveryError(str(self._reader.error)))
             return
-        response = messages[0]
-        if not response.keep_alive or len(messages) > 1 or self._reader.error is not None:
+        if not response.keep_alive or self._reader.error is not None:
             # The response is valid, but no response to a further call can be read from this connection, so
             # that the next call has to open a new one.
             self.closed = self.discards_input = True
--- a/nickelmount/agent/downstream.py
+++ b/nickelmount/agent/downstream.py
@@ -279,15 +279,14 @@
 
     def _read(self, data: bytes) -> None:
         was_idle = self._reader.incomplete is None
-        messages = self._reader.feed(data)
+        message = self._reader.feed(data)
         incomplete, error = self._reader.incomplete, self._reader.error
-        has_more = len(messages) > 1 or incomplete is not None or error is not None
-        if messages and has_more:
+        if message is not None and error is not None:
             self._send_error(_pipelining_error())
         elif error is not None:
             self._send_error(error)
-        elif messages:
-            self._dispatch(messages[0])
+        elif message is not None:
+            self._dispatch(message)
         elif incomplete is not None:
             # The limit of the first request counts from the opening of the connection.
             if was_idle and self.has_answered:
--- a/nickelmount/agent/http_reader.py
+++ b/nickelmount/agent/http_reader.py
@@ -3,6 +3,9 @@
 The reader serves both directions: requests of clients, and responses of endpoints and of discovery. The
 syntax of a message (characters, lengths, Content-Length together with Transfer-Encoding) is checked by
 llhttp, through httptools; its size and its transfer coding are checked here.
+
+The parser works on all bytes that it is given before it returns. The reader therefore stops it at the end of
+the first message.
 """
 
 from __future__ import annotations
@@ -31,6 +34,9 @@
 class HttpReader:
     """A reader that turns bytes into complete messages; after an error it reads nothing more.
 
+    It reads one message at a time: bytes behind a complete message that were fed together with it are an
+    error, except for line ends.
+
     Limits, and the status of the error if one is exceeded:
 
     - The head, a chunk header and the trailer have at most MAX_HEAD_BYTES (400).
@@ -90,11 +96,11 @@
         builder.error = builder.error or HttpError(400, "reading was stopped")
         self._parser = builder.incomplete = None
 
-    def feed(self, data: bytes) -> list[HttpMessage]:
-        """Return the messages that these bytes complete; set `error` if the bytes after them are invalid."""
+    def feed(self, data: bytes) -> HttpMessage | None:
+        """Return the message that these bytes complete, or None; set `error` if bytes follow it."""
         builder = self._builder
         if builder.error is not None:
-            return []
+            return None
         body_bytes_before = builder.total_body_bytes
         self._parse(data)
         if builder.incomplete is not None:
@@ -120,8 +126,7 @@
             self.parser.feed_data(data)
         except HttpParserUpgrade:
             builder.error = HttpError(400, "no other protocol is spoken here")
-            # The parser has already reported the request that asks for the upgrade as complete.
-            builder.take_completed()
+            builder.take_completed()  # The request that asks for the upgrade.
         except HttpParserError as error:
             # The parser converts an exception of a callback, such as _ReadingStopped, to this error.
             builder.error = builder.error or HttpError(400, f"malformed message: {error}")
@@ -141,7 +146,7 @@
     def __init__(self, reader: HttpReader, max_body_bytes: int) -> None:
         self._reader = weakref.ref(reader)
         self._max_body_bytes = max_body_bytes
-        self._completed: list[HttpMessage] = []  # Complete messages that were not taken yet.
+        self._completed: HttpMessage | None = None  # The complete message that was not taken yet.
         self._head_bytes = 0  # Size of the target and of the complete header lines of the latest head.
         # Number of bytes fed since the present message began, or since a byte of its body was last read.
         self._unfinished_bytes = 0
@@ -151,9 +156,9 @@
         self.has_read_head = False
         self.error: HttpError | None = None
 
-    def take_completed(self) -> list[HttpMessage]:
-        """Return the complete messages that were not taken yet."""
-        completed, self._completed = self._completed, []
+    def take_completed(self) -> HttpMessage | None:
+        """Return the complete message that was not taken yet, if there is one."""
+        completed, self._completed = self._completed, None
         return completed
 
     def incomplete_memory_bytes(self) -> int:
@@ -175,7 +180,9 @@
     # Events of the parser, in the order in which they occur. An exception that one raises stops the parser.
 
     def on_message_begin(self) -> None:
-        """Begin a new message."""
+        """Begin a new message, or stop the parser behind a complete one."""
+        if self._completed is not None:
+            self._fail(400, "one message at a time")
         self.incomplete, self.has_read_head = HttpMessage(), False
         self._head_bytes = self._unfinished_bytes = 0
 
@@ -231,7 +238,7 @@
         assert message is not None
         if not _is_interim(message):
             self._interim_responses = 0
-            self._completed.append(message)
+            self._completed = message
             return
         self._interim_responses += 1
         if self._interim_responses > MAX_INTERIM_RESPONSES:
--- a/nickelmount/fleet/watch_connection.py
+++ b/nickelmount/fleet/watch_connection.py
@@ -75,14 +75,14 @@
     def on_data(self, data: bytes) -> None:
         """Report a request, or close the connection if a second one arrives before the first is answered."""
         self._handler.on_bytes_received(len(data))
-        requests = self._reader.feed(data)
-        if self.call is not None or len(requests) > 1:
+        request, error = self._reader.feed(data), self._reader.error
+        if self.call is not None or (request is not None and error is not None):
             # The answer to one request could be taken for the answer to the other one.
             self.abort()
-        elif self._reader.error is not None:
-            self._handler.on_request(self, self._reader.error)
-        elif requests:
-            self._handler.on_request(self, requests[0])
+        elif error is not None:
+            self._handler.on_request(self, error)
+        elif request is not None:
+            self._handler.on_request(self, request)
 
     def on_handler_error(self) -> None:
         """Close the connection at once."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -133,6 +133,21 @@
         assert setup.discovery.connection_count == 2
 
 
+@async_test()
+async def test_bytes_behind_a_response_are_not_read_as_the_next_one() -> None:
+    # The part of a second response was kept, and read as the beginning of the response to the next call.
+    async with running_watch() as setup:
+        first = await setup.next_call()
+        body = list_body(42, [])
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        await first.connection.write(response + b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{")
+        second = await setup.next_call()
+        assert "index=42&" in second.start_line
+        assert setup.discovery.connection_count == 2
+        await second.answer(200, list_body(43, [VALID_ENTRY]))
+        assert (await setup.next_list()).revision == 43
+
+
 @async_test()
 async def test_a_connection_that_discovery_closes_is_replaced() -> None:
     async with running_watch() as setup:
