Read expensive input a little at a time, one connection in each iteration

Cause: the limits of a message count bytes, but the parser's time goes with the number of fields and chunks, some 0.4 us each. One iteration of the event loop read up to 256 KB from each connection, whatever that cost.

Change: a message has 100 fields at most; a read from a client or an endpoint is 4 KB at most; a connection whose read had more than 128 fields and chunks without completing a message waits for its turn, and one of them is read in each iteration. Bytes that are dropped are still read 256 KB at a time, so that a close behind them is seen early.

--- a/nickelmount/agent/connection.py
+++ b/nickelmount/agent/connection.py
@@ -9,10 +9,16 @@
 from contextlib import suppress
 
 from .buffer_budget import BufferBudget
+from .input_scheduler import InputScheduler
 
 log = logging.getLogger(__name__)
 
 RECEIVE_BUFFER_BYTES = 256 * 1024
+# Limit on the bytes of one read from a client or an endpoint. It bounds the time that one connection takes in
+# an iteration of the event loop; 4 KB may have 700 chunks.
+MAX_PEER_READ_BYTES = 4 * 1024
+# A read with more header fields and chunks than this is expensive, and the next one has to wait for its turn.
+MAX_PARTS_PER_READ = 128
 # All connections can share one buffer, because the bytes of each read are copied and handled before the event
 # loop reads again.
 _RECEIVE_BUFFER = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
@@ -22,12 +28,16 @@
     """A TCP connection that passes received bytes to its subclass and tracks whether sent bytes are written.
 
     A subclass overrides on_data, on_handler_error and on_peer_closed. If it has a budget for the messages
-    that it keeps in memory, it also overrides buffered_bytes, can_evict_buffers and evict_buffers.
+    that it keeps in memory, it also overrides buffered_bytes, can_evict_buffers and evict_buffers. If it has
+    a scheduler for expensive input, it also overrides parsed_parts.
     """
 
-    def __init__(self, budget: BufferBudget | None = None) -> None:
-        """Create a connection whose buffers count against a budget, or against none."""
-        self._budget = budget
+    def __init__(self, budget: BufferBudget | None = None, scheduler: InputScheduler | None = None) -> None:
+        """Create a connection whose buffers count against a budget, or against none.
+
+        With a scheduler, little is read at once, and expensive input waits for its turn.
+        """
+        self._budget, self._scheduler = budget, scheduler
         self._budgeted_bytes = 0  # The size of the buffers that the budget was last told.
         self.transport: asyncio.Transport | None = None  # None until the connection is established.
         self.all_written = True  # Whether the kernel has taken every byte that was sent.
@@ -66,6 +76,11 @@
             return 0
         return self.transport.get_write_buffer_size()
 
+    @property
+    def parsed_parts(self) -> int:
+        """The number of header fields and chunks in the latest read, if the message is not complete."""
+        return 0
+
     @property
     def can_evict_buffers(self) -> bool:
         """Whether the message that takes the memory may be given up."""
@@ -85,8 +100,13 @@
         transport.set_write_buffer_limits(high=0)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer that the event loop reads into."""
-        return _RECEIVE_BUFFER
+        """Return the buffer that the event loop reads into.
+
+        Bytes that are dropped cost little, and a close by the peer can be read only behind them.
+        """
+        if self._scheduler is None or self.discards_input:
+            return _RECEIVE_BUFFER
+        return _RECEIVE_BUFFER[:MAX_PEER_READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass the bytes that the event loop has read to on_data."""
@@ -95,6 +115,8 @@
         try:
             self.on_data(bytes(_RECEIVE_BUFFER[:nbytes]))
             self._update_budget()
+            if self._scheduler is not None and self.parsed_parts > MAX_PARTS_PER_READ:
+                self._scheduler.defer(self)
         except Exception:
             # Every exception is caught, because asyncio would close the transport if one left this method.
             # The subclass would take that for a close by the peer, so that a bug in this program would look
@@ -127,6 +149,20 @@
         self.all_written = True
         self._update_budget()
 
+    # Methods that the scheduler calls
+
+    def pause_input(self) -> None:
+        """Leave arriving bytes in the kernel."""
+        assert self.transport is not None
+        self.transport.pause_reading()
+
+    def resume_input(self) -> bool:
+        """Read again; return False if the connection has ended."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        self.transport.resume_reading()
+        return True
+
     # Methods for subclasses and for the owners of a connection
 
     def send(self, data: bytes) -> None:
--- a/nickelmount/agent/connection_pool.py
+++ b/nickelmount/agent/connection_pool.py
@@ -20,6 +20,7 @@
 from .connection import Connection
 from .http_message import HttpMessage
 from .http_reader import HttpReader
+from .input_scheduler import InputScheduler
 
 # The agent closes an idle connection after this share of the endpoints' idle timeout. If the endpoint closed
 # it first, a request could be sent while that close is on its way, and it would be unknown whether the
@@ -52,9 +53,13 @@
     """A connection to one endpoint, either idle or owned by one exchange."""
 
     def __init__(
-        self, pool: ConnectionPool, listed: ListedEndpoint, budget: BufferBudget | None = None
+        self,
+        pool: ConnectionPool,
+        listed: ListedEndpoint,
+        budget: BufferBudget | None = None,
+        scheduler: InputScheduler | None = None,
     ) -> None:
-        super().__init__(budget)
+        super().__init__(budget, scheduler)
         self.listed = listed  # The endpoint's list entry at the time the connection was opened.
         # The exchange whose request is being sent or is in flight; None before that and after the release.
         self.owner: ConnectionOwner | None = None
@@ -103,6 +108,11 @@
         else:
             self._pool.discard(self)
 
+    @property
+    def parsed_parts(self) -> int:
+        """The number of header fields and chunks in the latest read, if the response is not complete."""
+        return self._reader.parsed_parts if self._reader.incomplete is not None else 0
+
     def buffered_bytes(self) -> int:
         """Return the size of the response that has arrived in part and of the unwritten request."""
         return super().buffered_bytes() + self._reader.buffered_bytes
@@ -149,6 +159,7 @@
         """Create a pool without connections. What they read and write counts against `budget`, if given."""
         self.max_connections = max_connections
         self._budget = budget
+        self._input_scheduler = InputScheduler()
         self._clock = clock
         self._connect_timeout_s = connect_timeout_us / 1e6
         self._max_idle_us = int(idle_timeout_us * IDLE_TIMEOUT_SHARE)
@@ -200,7 +211,9 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._connect_timeout_s):
             _, connection = await loop.create_connection(
-                lambda: PooledConnection(self, listed, self._budget), listed.address.host, listed.address.port
+                lambda: PooledConnection(self, listed, self._budget, self._input_scheduler),
+                listed.address.host,
+                listed.address.port,
             )
         self._open.add(connection)
         return connection
--- a/nickelmount/agent/downstream.py
+++ b/nickelmount/agent/downstream.py
@@ -45,6 +45,7 @@
 from .http_encoding import Headers, encode_response
 from .http_message import HttpMessage
 from .http_reader import HttpReader
+from .input_scheduler import InputScheduler
 from .request_validation import ClientRequest, RequestValidator
 
 MAX_BODY_BYTES = 64 * 1024  # Limit on the body of a request.
@@ -105,6 +106,7 @@
     open_request_ids: set[bytes]  # Request-Id of each request that is in flight, on any connection.
     # The limit on the memory of all messages; None means that there is none.
     buffer_budget: BufferBudget | None
+    input_scheduler: InputScheduler
 
     def connection_opened(self, client: ClientConnection) -> None:
         """Admit a new connection, or close it."""
@@ -122,7 +124,7 @@
     """
 
     def __init__(self, host: ConnectionHost, now: Callable[[], float]) -> None:
-        super().__init__(host.buffer_budget)
+        super().__init__(host.buffer_budget, host.input_scheduler)
         self._host, self._now = host, now
         self._reader = HttpReader(HttpRequestParser, MAX_BODY_BYTES)
         self._message: HttpMessage | None = None  # The complete request that has no answer yet.
@@ -248,7 +250,19 @@
         """Drop the request in flight, because its client no longer waits for the answer."""
         self._disconnect_request()
 
-    # Memory
+    # Limits
+
+    @property
+    def parsed_parts(self) -> int:
+        """The number of header fields and chunks in the latest read, if the request is not complete."""
+        return self._reader.parsed_parts if self._reader.incomplete is not None else 0
+
+    def resume_input(self) -> bool:
+        """Read again; drop a connection whose client has gone, with all that it sent."""
+        if self.peer_has_closed():
+            self.abort()
+            return False
+        return super().resume_input()
 
     def buffered_bytes(self) -> int:
         """Return the size of the request that is read or in flight and of the unwritten answer."""
--- a/nickelmount/agent/http_reader.py
+++ b/nickelmount/agent/http_reader.py
@@ -4,8 +4,9 @@
 syntax of a message (characters, lengths, Content-Length together with Transfer-Encoding) is checked by
 llhttp, through httptools; its size and its transfer coding are checked here.
 
-The parser works on all bytes that it is given before it returns. The reader therefore stops it at the end of
-the first message.
+The parser calls back for each header field and each chunk, and works on all bytes that it is given before it
+returns. A small message with many of them takes as much processor time as a large one with few. The reader
+therefore counts these calls, and stops the parser at the end of the first message.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 
 # Limit on a head (the request or status line and the header fields), on a chunk header and on a trailer.
 MAX_HEAD_BYTES = 32 * 1024
+MAX_FIELDS = 100  # Limit on the header fields and trailer fields of a message together.
 MAX_INTERIM_RESPONSES = 16  # Limit on the responses with a status of 1xx that precede a final response.
 
 CONTENT_LENGTH = b"content-length"
@@ -40,6 +42,7 @@
     Limits, and the status of the error if one is exceeded:
 
     - The head, a chunk header and the trailer have at most MAX_HEAD_BYTES (400).
+    - The head and the trailer have at most MAX_FIELDS fields together (400).
     - The body has at most `max_body_bytes` (413). Content-Length is checked before the body arrives; without
       it, the body is checked as it arrives.
     - At most MAX_INTERIM_RESPONSES interim responses precede a final response (502).
@@ -96,9 +99,15 @@
         builder.error = builder.error or HttpError(400, "reading was stopped")
         self._parser = builder.incomplete = None
 
+    @property
+    def parsed_parts(self) -> int:
+        """The number of header fields and pieces of a body that the last call of `feed` has read."""
+        return self._builder.parsed_parts
+
     def feed(self, data: bytes) -> HttpMessage | None:
         """Return the message that these bytes complete, or None; set `error` if bytes follow it."""
         builder = self._builder
+        builder.parsed_parts = 0
         if builder.error is not None:
             return None
         body_bytes_before = builder.total_body_bytes
@@ -147,6 +156,8 @@
         self._reader = weakref.ref(reader)
         self._max_body_bytes = max_body_bytes
         self._completed: HttpMessage | None = None  # The complete message that was not taken yet.
+        self._field_count = 0  # Number of fields of the latest message, in its head and its trailer.
+        self.parsed_parts = 0  # Number of fields and pieces of a body since the reader set it to 0.
         self._head_bytes = 0  # Size of the target and of the complete header lines of the latest head.
         # Number of bytes fed since the present message began, or since a byte of its body was last read.
         self._unfinished_bytes = 0
@@ -184,7 +195,7 @@
         if self._completed is not None:
             self._fail(400, "one message at a time")
         self.incomplete, self.has_read_head = HttpMessage(), False
-        self._head_bytes = self._unfinished_bytes = 0
+        self._head_bytes = self._unfinished_bytes = self._field_count = 0
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target of a request."""
@@ -194,6 +205,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; the fields of a trailer are dropped."""
+        self.parsed_parts += 1
+        self._field_count += 1
+        if self._field_count > MAX_FIELDS:
+            self._fail(400, "too many header fields")
         if self.has_read_head:
             return
         assert self.incomplete is not None
@@ -226,6 +241,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self.parsed_parts += 1
         assert self.incomplete is not None
         self.incomplete.body += body
         self.total_body_bytes += len(body)
--- a/nickelmount/agent/listener.py
+++ b/nickelmount/agent/listener.py
@@ -27,6 +27,7 @@
 
 from .buffer_budget import BufferBudget
 from .downstream import ClientConnection, ClientTimeouts, RequestHandler
+from .input_scheduler import InputScheduler
 from .request_validation import RequestValidator
 
 LISTEN_BACKLOG = 512  # Limit on connections that the kernel has established and the agent has not accepted.
@@ -83,6 +84,7 @@
         self.handler = handler
         self.validator = RequestValidator(settings.classes, settings.tenants)
         self.buffer_budget = buffer_budget
+        self.input_scheduler = InputScheduler()
         self.connections: set[ClientConnection] = set()
         self.open_request_ids: set[bytes] = set()
         self.is_draining = False
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -61,6 +61,7 @@
         .replace(b"X:", b"\r\n".join(b"X%d: " % i + b"x" * 1000 for i in range(40)) + b"\r\nX:"),
         400,
     ),
+    "too many headers": (post().replace(b"Host:", b"X:\r\n" * 100 + b"Host:"), 400),
     "body too large": (post(body=b"x" * 65_537), 413),
     "body far too large": (post(body=b"x" * 8_000_000), 413),  # It is answered before it is sent completely.
     "chunks too large": (CHUNKED + b"11170\r\n" + b"x" * 70_000 + b"\r\n0\r\n\r\n", 413),
