Refuse a request that comes again after its client left and that may have run

Cause: the agent forgot a request when its client disconnected, and refused only ids in flight.

A request under such an id gets 409, a failure that promises nothing. Classes that any endpoint may run again, or drops as repeats by key, are not affected; nor are requests that never were sent or that no endpoint began.

--- a/nickelmount/agent/agent.py
+++ b/nickelmount/agent/agent.py
@@ -41,6 +41,7 @@
 )
 from nickelmount.balancer.balancer import Balancer
 from nickelmount.balancer.events import (
+    NEVER_RAN,
     AttemptEnded,
     ClientDisconnected,
     EndpointsChanged,
@@ -55,6 +56,7 @@
 from nickelmount.protocol.endpoint_list import EndpointList
 from nickelmount.protocol.http_names import FAILED_BODY, REJECTED_BODY
 
+from .abandoned_requests import AbandonedRequests
 from .clock import Clock
 from .discovery_client import DiscoveryClient
 from .http_encoding import Headers
@@ -68,6 +70,8 @@
 # that, the agent gives the answer itself, this long after the timeout. The protocol allows a delay of 50 ms.
 FALLBACK_ANSWER_DELAY_S = 0.025
 
+ABANDONED_BODY = b"a request with this Request-Id may have run\n"
+
 NO_REQUEST_ID = 0  # An id that no request has, because request ids start at 1.
 
 
@@ -78,6 +82,7 @@
     client_request: ClientRequest
     fallback_timer: asyncio.TimerHandle  # Answers the request if the balancer does not.
     attempt_count: int = 0  # Number of attempts started so far, including those that have ended.
+    may_have_run: bool = False  # An attempt has ended, and an endpoint may have run the request.
 
 
 class Agent:
@@ -96,6 +101,7 @@
         # The key is the request id and the attempt number.
         self._in_flight: dict[tuple[int, int], Exchange] = {}
         self._accepted_count = 0
+        self._abandoned = AbandonedRequests(self._loop.time)
         self._queued_events: deque[Event] = deque()
         self._is_dispatching = False
         self._executors: dict[type, Callable[[Any], None]] = {
@@ -141,7 +147,12 @@
     # Requests
 
     def accept(self, request: ClientRequest) -> None:
-        """Take over a request, which gets one final answer unless its client disconnects."""
+        """Take over a request, which gets one final answer unless its client disconnects.
+
+        A request that comes again after its client has left, and that may have run, is answered as failed.
+        """
+        if request.client_request_id in self._abandoned:
+            return request.respond(request, 409, [], ABANDONED_BODY)
         self._accepted_count += 1
         request_id = request.request_id = self._accepted_count
         fallback_timer = self._loop.call_later(
@@ -161,8 +172,12 @@
 
     def client_disconnected(self, request: ClientRequest) -> None:
         """Close a request whose client has disconnected; do nothing if it is closed already."""
-        if self._close_request(request.request_id) is not None:
-            self._dispatch(ClientDisconnected(request.request_id))
+        pending = self._close_request(request.request_id)
+        if pending is None:
+            return
+        if pending.may_have_run and not request.is_repeatable:
+            self._abandoned.add(request.client_request_id)
+        self._dispatch(ClientDisconnected(request.request_id))
 
     def answer_all_pending(self) -> None:
         """Answer every pending request now: as rejected if no attempt was started, otherwise as failed."""
@@ -282,7 +297,7 @@
                 client_has_disconnected=request.may_client_have_left,
             ),
             action.timeout_us,
-            lambda result: self._on_exchange_end(action, request, result),
+            lambda result: self._on_exchange_end(action, pending, result),
         )
         if not exchange.has_ended:
             self._in_flight[action.request_id, action.attempt] = exchange
@@ -310,8 +325,11 @@
         else:
             self._give_up(request.request_id)
 
-    def _on_exchange_end(self, action: SendAttempt, request: ClientRequest, result: ExchangeResult) -> None:
+    def _on_exchange_end(self, action: SendAttempt, pending: PendingRequest, result: ExchangeResult) -> None:
         self._in_flight.pop((action.request_id, action.attempt), None)
+        if result.outcome not in NEVER_RAN:
+            pending.may_have_run = True
+        request = pending.client_request
         if result.outcome is Outcome.NOT_SENT and request.may_client_have_left():
             self._stop_sending(request)
         self._on_attempt_end(action, result)
--- a/nickelmount/agent/request_validation.py
+++ b/nickelmount/agent/request_validation.py
@@ -21,7 +21,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from nickelmount.balancer.settings import Idempotency, RequestClass, Tenant
+from nickelmount.balancer.settings import DedupScope, Idempotency, RequestClass, Tenant
 from nickelmount.errors import HttpError
 from nickelmount.protocol import http_names
 
@@ -72,6 +72,8 @@
     tenant: int  # Index into Settings.tenants; 0 if the settings have no tenants.
     timeout_us: int  # The client waits this long for its answer.
     cost_us: int  # Rough estimate of the work, in microseconds on a standard core; 0 if it is unknown.
+    # Sent to an endpoint again, the request does no harm, although it may have run.
+    is_repeatable: bool
     is_retry: bool  # The client sent the request before, and it was rejected or not answered.
     respond: Respond
     request_id: int = 0  # The agent's own id, set by the handler that accepts the request.
@@ -82,6 +84,13 @@
     may_client_have_left: Callable[[], bool] = lambda: False
 
 
+def is_repeatable(request_class: RequestClass) -> bool:
+    """Whether any endpoint may run a request of this class again, or drops it as a repeat."""
+    if request_class.idempotency is Idempotency.WITH_KEY:
+        return request_class.dedup_scope is DedupScope.ALL
+    return request_class.idempotency is Idempotency.ALWAYS
+
+
 class RequestValidator:
     """The checks that turn an HTTP request into a ClientRequest, for given classes and tenants."""
 
@@ -90,6 +99,7 @@
             request_class.name.encode(): (index, request_class.idempotency)
             for index, request_class in enumerate(classes)
         }
+        self._is_repeatable = [is_repeatable(request_class) for request_class in classes]
         self._tenants = {tenant.name.encode(): index for index, tenant in enumerate(tenants)}
 
     def validate(self, message: HttpMessage, respond: Respond) -> ClientRequest:
@@ -114,6 +124,7 @@
             tenant=self._find_tenant(fields),
             timeout_us=_parse_timeout_us(fields),
             cost_us=_parse_number(fields, http_names.WORK_HINT) or 0,
+            is_repeatable=self._is_repeatable[request_class],
             is_retry=fields.get(http_names.CLIENT_RETRY) == b"1",
             respond=respond,
         )
