Read up to 16 KB at once from endpoints, and keep each limit with its connection

Responses are larger than requests, and fewer of them arrive at once: reads of 4 KB would have cost a response of 64 KB 16 calls of the event loop. The limit is now an attribute of each kind of connection, instead of one that followed from whether there is a scheduler; discovery keeps 256 KB. The reader itself says 0 parts if no message is incomplete, which both connections had decided for themselves.

--- a/nickelmount/agent/connection.py
+++ b/nickelmount/agent/connection.py
@@ -14,9 +14,6 @@
 log = logging.getLogger(__name__)
 
 RECEIVE_BUFFER_BYTES = 256 * 1024
-# Limit on the bytes of one read from a client or an endpoint. It bounds the time that one connection takes in
-# an iteration of the event loop; 4 KB may have 700 chunks.
-MAX_PEER_READ_BYTES = 4 * 1024
 # A read with more header fields and chunks than this is expensive, and the next one has to wait for its turn.
 MAX_PARTS_PER_READ = 128
 # All connections can share one buffer, because the bytes of each read are copied and handled before the event
@@ -29,13 +26,17 @@
 
     A subclass overrides on_data, on_handler_error and on_peer_closed. If it has a budget for the messages
     that it keeps in memory, it also overrides buffered_bytes, can_evict_buffers and evict_buffers. If it has
-    a scheduler for expensive input, it also overrides parsed_parts.
+    a scheduler for expensive input, it also overrides parsed_parts and max_read_bytes.
     """
 
+    # Limit on the bytes of one read. It bounds the time that the connection takes in an iteration of the
+    # event loop, because the parser handles all bytes of a read before it returns.
+    max_read_bytes = RECEIVE_BUFFER_BYTES
+
     def __init__(self, budget: BufferBudget | None = None, scheduler: InputScheduler | None = None) -> None:
         """Create a connection whose buffers count against a budget, or against none.
 
-        With a scheduler, little is read at once, and expensive input waits for its turn.
+        With a scheduler, expensive input waits for its turn.
         """
         self._budget, self._scheduler = budget, scheduler
         self._budgeted_bytes = 0  # The size of the buffers that the budget was last told.
@@ -104,9 +105,7 @@
 
         Bytes that are dropped cost little, and a close by the peer can be read only behind them.
         """
-        if self._scheduler is None or self.discards_input:
-            return _RECEIVE_BUFFER
-        return _RECEIVE_BUFFER[:MAX_PEER_READ_BYTES]
+        return _RECEIVE_BUFFER if self.discards_input else _RECEIVE_BUFFER[: self.max_read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass the bytes that the event loop has read to on_data."""
--- a/nickelmount/agent/connection_pool.py
+++ b/nickelmount/agent/connection_pool.py
@@ -34,6 +34,7 @@
 # The limit for one body, which is held in memory as a whole. The memory of all of them together is limited by
 # the budget of the pool.
 MAX_RESPONSE_BODY_BYTES = 1024 * 1024
+MAX_READ_BYTES = 16 * 1024  # Limit on one read from an endpoint; responses are larger than requests.
 
 
 class ConnectionOwner(Protocol):
@@ -52,6 +53,8 @@
 class PooledConnection(Connection):
     """A connection to one endpoint, either idle or owned by one exchange."""
 
+    max_read_bytes = MAX_READ_BYTES
+
     def __init__(
         self,
         pool: ConnectionPool,
@@ -111,7 +114,7 @@
     @property
     def parsed_parts(self) -> int:
         """The number of header fields and chunks in the latest read, if the response is not complete."""
-        return self._reader.parsed_parts if self._reader.incomplete is not None else 0
+        return self._reader.parsed_parts
 
     def buffered_bytes(self) -> int:
         """Return the size of the response that has arrived in part and of the unwritten request."""
--- a/nickelmount/agent/downstream.py
+++ b/nickelmount/agent/downstream.py
@@ -49,6 +49,8 @@
 from .request_validation import ClientRequest, RequestValidator
 
 MAX_BODY_BYTES = 64 * 1024  # Limit on the body of a request.
+# Limit on one read from a client. Hundreds of clients may send at once, and 4 KB may have 700 chunks.
+MAX_READ_BYTES = 4 * 1024
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CONNECTION_CLOSE = ("Connection", "close")
 
@@ -123,6 +125,8 @@
     in seconds by the clock `now`, from which the time limit of the present state counts.
     """
 
+    max_read_bytes = MAX_READ_BYTES
+
     def __init__(self, host: ConnectionHost, now: Callable[[], float]) -> None:
         super().__init__(host.buffer_budget, host.input_scheduler)
         self._host, self._now = host, now
@@ -255,7 +259,7 @@
     @property
     def parsed_parts(self) -> int:
         """The number of header fields and chunks in the latest read, if the request is not complete."""
-        return self._reader.parsed_parts if self._reader.incomplete is not None else 0
+        return self._reader.parsed_parts
 
     def resume_input(self) -> bool:
         """Read again; drop a connection whose client has gone, with all that it sent."""
--- a/nickelmount/agent/http_reader.py
+++ b/nickelmount/agent/http_reader.py
@@ -101,8 +101,11 @@
 
     @property
     def parsed_parts(self) -> int:
-        """The number of header fields and pieces of a body that the last call of `feed` has read."""
-        return self._builder.parsed_parts
+        """The number of header fields and pieces of a body that the last call of `feed` has read.
+
+        It is 0 if no message has arrived only in part.
+        """
+        return 0 if self._builder.incomplete is None else self._builder.parsed_parts
 
     def feed(self, data: bytes) -> HttpMessage | None:
         """Return the message that these bytes complete, or None; set `error` if bytes follow it."""
